--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Front end to CMake and CTest; each target does its own set-up on a fresh machine.
+JOBS ?= $(shell nproc)
+BUILD ?= build
+
+.PHONY: packages build format format-check lint test sanitize fuzz demo bench soak clean
+
+packages:
+	@cmake/install-packages.sh
+
+build: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+format: packages
+	@git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v generated | xargs clang-format -i
+
+format-check: packages
+	@git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v generated | xargs clang-format --dry-run -Werror
+
+lint: build
+	@git ls-files -co --exclude-standard 'src/*.cpp' | grep -v generated | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
+
+test: format-check build lint
+	@ctest --test-dir $(BUILD) --output-on-failure --timeout 300
+
+sanitize: packages
+	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DPLANTAIN_SANITIZE=ON >/dev/null
+	@cmake --build $(BUILD)-sanitize -j $(JOBS)
+	@ctest --test-dir $(BUILD)-sanitize --output-on-failure --timeout 600
+
+clean:
+	@rm -rf build build-*
--- /dev/null
+++ b/src/include/plantainpitch/log/task_phase.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace plantainpitch {
+
+enum class task_phase { pending, claimed, revoking, finished, failed, cancelled };
+
+/// Name as it appears in the administration API, e.g. "claimed".
+const char *toString(task_phase phase);
+
+constexpr bool isFinal(task_phase phase)
+{
+    return phase == task_phase::finished || phase == task_phase::failed
+           || phase == task_phase::cancelled;
+}
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/role/message/authority_grant.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "plantainpitch/model/log_position.h"
+#include "plantainpitch/role/message/held_task.h"
+#include "plantainpitch/role/message/withdrawn_task.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace plantainpitch {
+
+/// Answer to an authority_request: every held task that is not withdrawn is confirmed.
+struct authority_grant
+{
+    std::uint64_t nonce = 0;
+    std::uint64_t nextOffset = 0; ///< the log was read up to here
+    std::vector<withdrawn_task> withdrawn;
+    /// Claims of this VM that the log knows and the request did not name.
+    std::vector<held_task> unlisted;
+
+    bool operator==(const authority_grant &) const = default;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/role/message/drain_request.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace plantainpitch {
+
+/// Asks an agent to stop admitting work, finish what runs and exit.
+struct drain_request
+{
+    std::string reason;
+
+    bool operator==(const drain_request &) const = default;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/role/message/peer_digest.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace plantainpitch {
+
+/// How far an entry has read; sent to every peer entry each 500 ms.
+struct peer_digest
+{
+    std::string name;
+    std::uint64_t configNext = 0;
+    std::uint64_t cellNext = 0;
+    bool ready = false;
+    bool logUnavailable = false;
+
+    bool operator==(const peer_digest &) const = default;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/role/message/peer_pull.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace plantainpitch {
+
+/// Asks a peer entry for what it has read of a stream.
+struct peer_pull
+{
+    std::string stream;
+    std::uint64_t fromOffset = 0;
+    bool snapshot = false; ///< the asker has no state and wants a snapshot first
+
+    bool operator==(const peer_pull &) const = default;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/role/message/withdrawn_task.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "plantainpitch/model/log_position.h"
+#include "plantainpitch/model/task_id.h"
+
+namespace plantainpitch {
+
+enum class withdrawal {
+    revoked, ///< stop, then release
+    cancelled, ///< stop, then release with the reason cancelled
+    not_held, ///< the log knows another holder or the task has ended: stop, forget
+};
+
+/// A claim that is not confirmed.
+struct withdrawn_task
+{
+    task_id task;
+    log_position attempt;
+    withdrawal why = withdrawal::not_held;
+
+    bool operator==(const withdrawn_task &) const = default;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/role/task_dispatcher.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "plantainpitch/log/cell_state.h"
+#include "plantainpitch/model/instant.h"
+#include "plantainpitch/role/action.h"
+#include "plantainpitch/role/message/proposal_refused.h"
+#include "plantainpitch/role/record_outcome.h"
+#include "plantainpitch/role/vm_info.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace plantainpitch {
+
+struct task_dispatcher_options
+{
+    std::string entry; ///< name of this entry, for rendezvous hashing
+    std::string dataCentre;
+    /// A VM that is gone this long loses its claims by revocation.
+    duration vmLostAfter = std::chrono::seconds(3);
+    duration proposalTimeout = std::chrono::seconds(2);
+    double clockDriftRatio = 0.02;
+    duration revocationMargin = std::chrono::milliseconds(500);
+};
+
+/// Proposes unplaced tasks to agents and revokes claims of lost VMs. An optimisation only: two
+/// dispatchers that act at once do no harm. Not thread-safe.
+class task_dispatcher
+{
+public:
+    task_dispatcher(task_dispatcher_options options, std::uint64_t seed);
+    ~task_dispatcher();
+
+    /// Names of the live entries of the cell, this one included.
+    void onEntries(std::vector<std::string> names);
+    void onVm(instant now, const vm_info &vm);
+    void onVmGone(instant now, const std::string &vm);
+    void onProposalRefused(instant now, connection_id from, const proposal_refused &refusal);
+    /// Called for each record after it was folded into \a cell.
+    void onFolded(instant now, const cell_state &cell, const log_record &record,
+                  const fold_result &result);
+    /// The cell was loaded from a snapshot.
+    void onReset(instant now, const cell_state &cell);
+    void onRecordOutcome(instant now, const record_outcome &outcome);
+    void tick(instant now, const cell_state &cell, std::int64_t nowMs);
+
+    /// Why the task is where it is, as JSON.
+    [[nodiscard]] std::string explainTask(const cell_state &cell, const task_id &task) const;
+
+    /// send_message(task_proposal), submit_record, count_metric, write_log.
+    action_list takeActions();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/role/task_holder.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "plantainpitch/model/instant.h"
+#include "plantainpitch/role/action.h"
+#include "plantainpitch/role/message/authority_grant.h"
+#include "plantainpitch/role/message/record_settled.h"
+#include "plantainpitch/role/message/task_proposal.h"
+#include "plantainpitch/role/worker/worker_answer.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace plantainpitch {
+
+struct task_holder_options
+{
+    std::string vm;
+    std::uint64_t agent = 0; ///< incarnation of this process
+    resources reservedForService; ///< withheld from batch tasks
+    duration authorityInterval = std::chrono::seconds(2);
+    duration listInterval = std::chrono::seconds(1);
+    duration callTimeout = std::chrono::seconds(2);
+    /// Bound on the difference between the rates of two clocks.
+    double clockDriftRatio = 0.02;
+    duration revocationMargin = std::chrono::milliseconds(500);
+    double checkpointAtRatio = 0.70; ///< share of the term without confirmation
+    double stopAtRatio = 0.85;
+};
+
+/// Claims, starts, keeps and gives back the tasks of one VM. The only place that gives out the
+/// VM's resources to tasks. Not thread-safe.
+class task_holder
+{
+public:
+    task_holder(task_holder_options options, std::uint64_t seed);
+    ~task_holder();
+
+    /// Sets the connection to the entry through which this agent reaches the log (0: none).
+    /// Records that are not settled are submitted again through the new one; the folds ignore
+    /// repetitions.
+    void onGateway(instant now, connection_id gateway);
+
+    void onProposal(instant now, connection_id from, const task_proposal &proposal);
+    void onRecordSettled(instant now, const record_settled &settled);
+    void onAuthorityGrant(instant now, const authority_grant &grant);
+    void onWorkerAnswer(instant now, const worker_answer &answer);
+    /// Evicts a task: checkpoint, stop, release. Unknown tasks are ignored.
+    void evict(instant now, const task_id &task);
+    void throttle(instant now, std::uint32_t percent);
+    void tick(instant now);
+
+    /// Checkpoints, stops and releases all tasks and takes no more.
+    void drain(instant now);
+    /// True once drain() was called and no task is left.
+    [[nodiscard]] bool drained() const;
+
+    [[nodiscard]] resources capacity() const;
+    /// Capacity less reservations of the service and of tasks that run, start, or may run.
+    [[nodiscard]] resources available() const;
+    [[nodiscard]] std::string workerBoot() const;
+    [[nodiscard]] std::string rack() const;
+    [[nodiscard]] std::size_t taskCount() const;
+
+    /// send_message to the gateway or a proposer, worker_call, count_metric, write_log.
+    action_list takeActions();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/role/vm_info.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "plantainpitch/model/resources.h"
+#include "plantainpitch/role/connection_id.h"
+
+#include <cstdint>
+#include <string>
+
+namespace plantainpitch {
+
+/// A VM as the entries know it. A hint: the agent decides.
+struct vm_info
+{
+    connection_id connection = 0;
+    std::string vm;
+    std::string dataCentre;
+    std::string rack;
+    std::uint64_t agent = 0; ///< incarnation
+    std::string workerBoot;
+    resources capacity;
+    resources available;
+    bool draining = false;
+    std::string templateName; ///< service on the VM; empty: none
+    std::uint32_t runningRequests = 0;
+
+    bool operator==(const vm_info &) const = default;
+};
+
+} // namespace plantainpitch
