--- a/src/include/plantainpitch/role/agent_role.h
+++ b/src/include/plantainpitch/role/agent_role.h
@@ -11,6 +11,12 @@
 
 namespace plantainpitch {
 
+namespace detail {
+struct agent_shared;
+class agent_task_shard;
+class agent_admission_shard;
+} // namespace detail
+
 struct agent_role_options
 {
     std::string vm;
@@ -42,12 +48,9 @@
     [[nodiscard]] std::string status() const;
 
 private:
-    struct shared;
-    struct task_shard;
-    struct admission_shard;
-    std::shared_ptr<shared> m_shared;
-    std::unique_ptr<task_shard> m_tasks;
-    std::unique_ptr<admission_shard> m_admission;
+    std::shared_ptr<detail::agent_shared> m_shared;
+    std::unique_ptr<detail::agent_task_shard> m_tasks;
+    std::unique_ptr<detail::agent_admission_shard> m_admission;
 };
 
 } // namespace plantainpitch
--- a/src/include/plantainpitch/role/entry_role.h
+++ b/src/include/plantainpitch/role/entry_role.h
@@ -12,6 +12,12 @@
 
 namespace plantainpitch {
 
+namespace detail {
+struct entry_shared;
+class entry_control;
+class entry_router_shard;
+} // namespace detail
+
 struct entry_role_options
 {
     std::string name;
@@ -56,12 +62,9 @@
     [[nodiscard]] bool closeListeners() const;
 
 private:
-    struct control;
-    struct router_shard;
-    struct shared;
-    std::shared_ptr<shared> m_shared;
-    std::unique_ptr<control> m_control;
-    std::vector<std::unique_ptr<router_shard>> m_routers;
+    std::shared_ptr<detail::entry_shared> m_shared;
+    std::unique_ptr<detail::entry_control> m_control;
+    std::vector<std::unique_ptr<detail::entry_router_shard>> m_routers;
 };
 
 } // namespace plantainpitch
--- /dev/null
+++ b/src/librole/agent_shared.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "plantainpitch/role/agent_role.h"
+
+#include <atomic>
+#include <cstdint>
+
+namespace plantainpitch::detail {
+
+/// What the shards of an agent know of each other.
+struct agent_shared
+{
+    explicit agent_shared(agent_role_options roleOptions)
+        : options(std::move(roleOptions))
+    {}
+
+    const agent_role_options options;
+    std::atomic<std::uint32_t> running{ 0 };
+    std::atomic<std::uint32_t> queued{ 0 };
+    std::atomic<std::uint32_t> slots{ 0 }; ///< 0: as in the options
+    std::atomic<std::uint32_t> queueLimit{ 0 }; ///< 0: as in the options
+    std::atomic<std::uint64_t> tasks{ 0 };
+    std::atomic<std::uint64_t> configRevision{ 0 };
+    std::atomic<bool> draining{ false };
+    std::atomic<bool> admissionIdle{ true };
+    std::atomic<bool> tasksDrained{ false };
+};
+
+} // namespace plantainpitch::detail
--- /dev/null
+++ b/src/librole/agent_table.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "plantainpitch/model/instant.h"
+#include "plantainpitch/role/connection_id.h"
+#include "plantainpitch/role/endpoint_info.h"
+#include "plantainpitch/role/message/announce.h"
+#include "plantainpitch/role/message/heartbeat.h"
+#include "plantainpitch/role/vm_info.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace plantainpitch::detail {
+
+/// An agent that announced itself to this entry.
+struct known_agent
+{
+    connection_id connection = 0;
+    announce announced;
+    heartbeat last;
+    instant lastHeard;
+    bool lost = false; ///< heartbeats are missing
+    log_position configSent;
+
+    [[nodiscard]] vm_info toVm() const;
+    [[nodiscard]] endpoint_info toEndpoint() const;
+};
+
+/// The agents connected to this entry. Hints only: each agent decides for its VM.
+class agent_table
+{
+public:
+    known_agent &onAnnounce(instant now, connection_id connection, const announce &announced);
+    /// Null for a heartbeat before an announcement.
+    known_agent *onHeartbeat(instant now, connection_id connection, const heartbeat &beat);
+    void erase(connection_id connection);
+    /// Marks agents that were silent since \a limit as lost and returns them.
+    std::vector<known_agent> takeSilent(instant limit);
+
+    known_agent *find(connection_id connection);
+    [[nodiscard]] const known_agent *findVm(const std::string &vm) const;
+    std::map<connection_id, known_agent> &all() { return m_agents; }
+    [[nodiscard]] const std::map<connection_id, known_agent> &all() const { return m_agents; }
+
+private:
+    std::map<connection_id, known_agent> m_agents;
+};
+
+} // namespace plantainpitch::detail
--- /dev/null
+++ b/src/librole/entry_control_streams.cpp
@@ -0,0 +1,222 @@
+// Part of entry_control that follows the log and spreads what it says.
+
+#include "entry_control.h"
+#include "entry_router_shard.h"
+
+namespace plantainpitch::detail {
+
+namespace {
+
+/// The log keeps records for a limited time only, so the state is written again well before.
+constexpr std::uint64_t snapshotRecords = 20'000;
+constexpr duration snapshotInterval = std::chrono::minutes(10);
+constexpr duration snapshotCheckInterval = std::chrono::seconds(1);
+
+} // namespace
+
+void entry_control::followStreams()
+{
+    const bool configReset =
+            m_config.fold([this](const log_record &record, const fold_result &result,
+                                 std::optional<std::uint64_t> ticket) {
+                onConfigFolded(record, result, ticket);
+            });
+    if (configReset)
+        publishAllTemplates();
+    const bool cellReset = m_cell.fold(
+            [this](const log_record &record, const fold_result &result,
+                   std::optional<std::uint64_t> ticket) { onCellFolded(record, result, ticket); });
+    if (cellReset)
+        m_dispatcher.onReset(m_now, cell());
+    m_shared->stateComplete = m_config.complete() && m_cell.complete();
+    if (m_config.complete())
+        m_shared->configLoaded = true;
+    grantAuthorities();
+}
+
+void entry_control::onConfigFolded(const log_record &record, const fold_result &result,
+                                   std::optional<std::uint64_t> ticket)
+{
+    if (const auto *change = std::get_if<config_change>(&record); change && result.accepted) {
+        if (const config_entity *entity = config().findEntity(change->kind, change->name))
+            publishTemplate(*entity);
+        pushConfig();
+    }
+    if (!ticket)
+        return;
+    const auto node = m_configOwners.extract(*ticket);
+    if (!node.empty())
+        settle(node.mapped(), record, result);
+}
+
+void entry_control::onCellFolded(const log_record &record, const fold_result &result,
+                                 std::optional<std::uint64_t> ticket)
+{
+    m_dispatcher.onFolded(m_now, cell(), record, result);
+    if (!ticket)
+        return;
+    const auto node = m_cellOwners.extract(*ticket);
+    if (!node.empty())
+        settle(node.mapped(), record, result);
+}
+
+void entry_control::settle(const record_owner &owner, const log_record &record,
+                           const fold_result &result)
+{
+    if (const auto *agent = std::get_if<agent_owner>(&owner)) {
+        const bool isClaim = std::holds_alternative<task_claimed>(record);
+        emit(send_message{ agent->connection,
+                           record_settled{ .ticket = agent->ticket,
+                                           .position = isClaim && result.accepted ? result.current
+                                                                                  : result.position,
+                                           .accepted = result.accepted,
+                                           .reason = result.reason } });
+    } else if (const auto *router = std::get_if<router_owner>(&owner)) {
+        std::optional<key_state> holder;
+        if (const auto *claim = std::get_if<key_claimed>(&record)) {
+            if (const key_state *key = cell().findKey(claim->account, claim->key))
+                holder = *key;
+        }
+        const record_outcome outcome = { router->token, true, result };
+        m_shared->routerInboxes[router->shard]->post([outcome, holder](entry_router_shard &shard) {
+            shard.router().onRecordOutcome(shard.now(), outcome, holder);
+        });
+    } else if (const auto *dispatcher = std::get_if<dispatcher_owner>(&owner)) {
+        m_dispatcher.onRecordOutcome(m_now, { dispatcher->token, true, result });
+    } else if (const auto *admin = std::get_if<admin_owner>(&owner)) {
+        m_admin.onFolded(admin->adminId, record, result);
+    }
+}
+
+void entry_control::grantAuthorities()
+{
+    for (const std::uint64_t barrier : m_cell.takeCompletedBarriers()) {
+        if (const auto waiting = m_authorities.take(barrier))
+            emit(send_message{ waiting->connection,
+                               authority_service::makeGrant(cell(), *waiting) });
+    }
+}
+
+void entry_control::publishTemplate(const config_entity &entity)
+{
+    if (entity.kind != config_kind::work_template)
+        return;
+    const work_template *found = config().findTemplate(entity.name);
+    if (!found) {
+        m_shared->postToRouters([name = entity.name](entry_router_shard &shard) {
+            shard.router().onTemplateRemoved(name);
+        });
+        return;
+    }
+    const auto value = std::make_shared<const work_template>(*found);
+    m_shared->postToRouters(
+            [value](entry_router_shard &shard) { shard.router().onTemplate(value); });
+}
+
+void entry_control::publishAllTemplates()
+{
+    for (const config_entity &entity : config().changedSince({}))
+        publishTemplate(entity);
+}
+
+void entry_control::pushConfig()
+{
+    const log_position revision = config().revision();
+    for (auto &[connection, agent] : m_agents.all()) {
+        if (agent.configSent >= revision)
+            continue;
+        emit(send_message{ connection,
+                           config_update{ revision, config().changedSince(agent.configSent) } });
+        agent.configSent = revision;
+    }
+}
+
+void entry_control::exchangeDigests()
+{
+    if (m_now - m_lastDigest < m_shared->options.peerDigestInterval)
+        return;
+    m_lastDigest = m_now;
+    const peer_digest digest = { .name = m_shared->options.name,
+                                 .configNext = config().nextOffset(),
+                                 .cellNext = cell().nextOffset(),
+                                 .ready = m_shared->stateComplete && !m_shared->stopping,
+                                 .logUnavailable = m_config.unavailable() };
+    for (const auto &[connection, peer] : m_peers.all())
+        emit(send_message{ connection, digest });
+    std::vector<std::string> live =
+            m_peers.liveNames(m_shared->options.name, m_now - m_shared->options.heartbeatTimeout);
+    if (live != m_liveEntries) {
+        m_liveEntries = live;
+        m_dispatcher.onEntries(std::move(live));
+    }
+    pullFromPeers();
+}
+
+void entry_control::pullFromPeers()
+{
+    for (const auto &[connection, peer] : m_peers.all()) {
+        if (!peer.digest.ready)
+            continue;
+        if (m_config.unavailable() && peer.digest.configNext > config().nextOffset())
+            emit(send_message{ connection,
+                               peer_pull{ m_config.stream(), config().nextOffset(), false } });
+        if (m_cell.unavailable() && peer.digest.cellNext > cell().nextOffset())
+            emit(send_message{ connection,
+                               peer_pull{ m_cell.stream(), cell().nextOffset(), false } });
+    }
+}
+
+void entry_control::onPeerPull(connection_id connection, const peer_pull &pull)
+{
+    if (pull.stream == m_config.stream() && m_config.complete())
+        emit(send_message{ connection, m_config.makeRecords(pull) });
+    else if (pull.stream == m_cell.stream() && m_cell.complete())
+        emit(send_message{ connection, m_cell.makeRecords(pull) });
+}
+
+void entry_control::onPeerRecords(const peer_records &records)
+{
+    if (records.stream == m_config.stream() && m_config.unavailable()) {
+        const bool reset = m_config.applyPeerRecords(
+                records, [this](const auto &record, const auto &result, auto ticket) {
+                    onConfigFolded(record, result, ticket);
+                });
+        if (reset)
+            publishAllTemplates();
+    } else if (records.stream == m_cell.stream() && m_cell.unavailable()) {
+        const bool reset = m_cell.applyPeerRecords(
+                records, [this](const auto &record, const auto &result, auto ticket) {
+                    onCellFolded(record, result, ticket);
+                });
+        if (reset)
+            m_dispatcher.onReset(m_now, cell());
+    }
+}
+
+void entry_control::writeSnapshots()
+{
+    if (m_now - m_lastSnapshotCheck < snapshotCheckInterval || !m_shared->stateComplete)
+        return;
+    if (m_lastSnapshotCheck == instant()) {
+        m_lastConfigSnapshot = m_now;
+        m_lastCellSnapshot = m_now;
+    }
+    m_lastSnapshotCheck = m_now;
+    // The first live name writes; a second writer at a change of membership does no harm.
+    if (m_liveEntries.empty() || m_liveEntries.front() != m_shared->options.name)
+        return;
+    const auto due = [this](const auto &follower, instant last) {
+        return follower.recordsSinceSnapshot() >= snapshotRecords
+               || (follower.recordsSinceSnapshot() > 0 && m_now - last >= snapshotInterval);
+    };
+    if (due(m_config, m_lastConfigSnapshot)) {
+        m_config.submitSnapshot(m_now);
+        m_lastConfigSnapshot = m_now;
+    }
+    if (due(m_cell, m_lastCellSnapshot)) {
+        m_cell.submitSnapshot(m_now);
+        m_lastCellSnapshot = m_now;
+    }
+}
+
+} // namespace plantainpitch::detail
--- /dev/null
+++ b/src/librole/record_owner.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "plantainpitch/role/connection_id.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <variant>
+
+namespace plantainpitch::detail {
+
+/// An agent submitted the record.
+struct agent_owner
+{
+    connection_id connection = 0;
+    std::uint64_t ticket = 0;
+};
+
+/// A router shard submitted the record.
+struct router_owner
+{
+    std::size_t shard = 0;
+    std::uint64_t token = 0;
+};
+
+/// The task dispatcher submitted the record.
+struct dispatcher_owner
+{
+    std::uint64_t token = 0;
+};
+
+/// An operator's request led to the record.
+struct admin_owner
+{
+    std::uint64_t adminId = 0;
+};
+
+/// Who is told what became of a record.
+using record_owner = std::variant<agent_owner, router_owner, dispatcher_owner, admin_owner>;
+
+} // namespace plantainpitch::detail
--- /dev/null
+++ b/src/librole/stream_follower.h
@@ -0,0 +1,251 @@
+#pragma once
+
+#include "plantainpitch/log/fold_result.h"
+#include "plantainpitch/log/log_pipeline.h"
+#include "plantainpitch/log/snapshot_reader.h"
+#include "plantainpitch/log/snapshot_writer.h"
+#include "plantainpitch/role/action.h"
+#include "plantainpitch/role/message/peer_pull.h"
+#include "plantainpitch/role/message/peer_records.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plantainpitch::detail {
+
+/// Limit of the records that an entry keeps for its peers, besides a snapshot.
+constexpr std::size_t maxTailRecords = 50'000;
+
+/// A stream of the log with the state folded from it. \a State is config_state or cell_state.
+template <typename State>
+class stream_follower
+{
+public:
+    /// Called for each folded record; the ticket is set if this process submitted the record.
+    using record_callback = std::function<void(const log_record &, const fold_result &,
+                                               std::optional<std::uint64_t>)>;
+
+    stream_follower(log_pipeline_options options, std::uint64_t seed)
+        : m_stream(options.stream)
+        , m_producer(options.producer)
+        , m_pipeline(options, seed)
+    {}
+
+    std::optional<std::uint64_t> submit(instant now, log_record record)
+    {
+        return m_pipeline.submit(now, std::move(record));
+    }
+
+    std::uint64_t requestBarrier(instant now) { return m_pipeline.requestBarrier(now); }
+
+    void onAppendAnswer(instant now, const append_answer &answer)
+    {
+        m_pipeline.onAppendAnswer(now, answer);
+    }
+
+    void onReadAnswer(instant now, const read_answer &answer)
+    {
+        m_pipeline.onReadAnswer(now, answer);
+    }
+
+    void tick(instant now) { m_pipeline.tick(now); }
+
+    void takeCalls(action_list &actions)
+    {
+        for (append_call &call : m_pipeline.takeAppends())
+            actions.emplace_back(std::move(call));
+        for (read_call &call : m_pipeline.takeReads())
+            actions.emplace_back(std::move(call));
+    }
+
+    /// Folds what was read. Returns true if the state was replaced by a snapshot.
+    bool fold(const record_callback &onRecord)
+    {
+        if (m_pipeline.behindRetention())
+            startCollecting();
+        bool reset = false;
+        for (read_batch &batch : m_pipeline.takeBatches()) {
+            if (m_collecting)
+                reset = collect(std::move(batch), onRecord) || reset;
+            else
+                foldBatch(batch, onRecord);
+        }
+        return reset;
+    }
+
+    /// Barriers that were reached; none while the state has a gap.
+    std::vector<std::uint64_t> takeCompletedBarriers()
+    {
+        return m_collecting ? std::vector<std::uint64_t>() : m_pipeline.takeCompletedBarriers();
+    }
+
+    /// True if the state had every record at some time since the start and has no gap.
+    [[nodiscard]] bool complete() const
+    {
+        return !m_collecting && (m_pipeline.caughtUp() || m_loadedFromPeer);
+    }
+
+    [[nodiscard]] bool unavailable() const { return m_pipeline.unavailable(); }
+    [[nodiscard]] const State &state() const { return m_state; }
+    [[nodiscard]] const std::string &stream() const { return m_stream; }
+    [[nodiscard]] std::uint64_t recordsSinceSnapshot() const { return m_recordsSinceSnapshot; }
+
+    /// Appends a snapshot of the state; its parts go through the log like any record.
+    void submitSnapshot(instant now)
+    {
+        if (m_state.nextOffset() == 0)
+            return;
+        const std::string data = m_state.saveSnapshot();
+        for (snapshot_part &part : snapshot_writer::split(data, m_state.nextOffset() - 1))
+            m_pipeline.submit(now, std::move(part));
+        m_recordsSinceSnapshot = 0;
+    }
+
+    /// What a peer lacks: the batches since its offset, or a snapshot if those are not at hand.
+    [[nodiscard]] peer_records makeRecords(const peer_pull &pull) const
+    {
+        peer_records result{ .stream = m_stream };
+        if (pull.fromOffset < m_tailFrom) {
+            result.hasSnapshot = true;
+            result.snapshotThrough = m_state.nextOffset() - 1;
+            result.snapshot = m_state.saveSnapshot();
+            return result;
+        }
+        for (const stored_batch &batch : m_tail) {
+            if (batch.offset >= pull.fromOffset)
+                result.batches.push_back(batch);
+        }
+        return result;
+    }
+
+    /// Takes what a peer has read beyond this process. Returns true if the state was replaced.
+    bool applyPeerRecords(const peer_records &records, const record_callback &onRecord)
+    {
+        bool reset = false;
+        if (records.hasSnapshot && records.snapshotThrough >= m_state.nextOffset()) {
+            m_state.loadSnapshot(records.snapshot, records.snapshotThrough);
+            restartTail();
+            m_collecting = false;
+            reset = true;
+        }
+        if (m_collecting)
+            return reset;
+        for (const stored_batch &stored : records.batches) {
+            if (stored.offset < m_state.nextOffset())
+                continue;
+            // An own batch must come through the pipeline, which knows its tickets.
+            if (stored.batch.producer == m_producer)
+                break;
+            foldBatch({ .stored = stored, .tickets = {} }, onRecord);
+        }
+        m_loadedFromPeer = true;
+        m_pipeline.resumeAt(m_state.nextOffset());
+        return reset;
+    }
+
+private:
+    void startCollecting()
+    {
+        m_collecting = true;
+        m_snapshots = snapshot_reader();
+        m_collected.clear();
+        m_pipeline.resumeAt(m_pipeline.earliestOffset());
+    }
+
+    /// Keeps batches until a complete snapshot comes that they continue.
+    bool collect(read_batch batch, const record_callback &onRecord)
+    {
+        for (const log_record &record : batch.stored.batch.records) {
+            if (const auto *part = std::get_if<snapshot_part>(&record))
+                m_snapshots.add(*part);
+        }
+        m_collected.push_back(std::move(batch));
+        const auto snapshot = m_snapshots.complete();
+        if (!snapshot || snapshot->through + 1 < m_collected.front().stored.offset
+            || snapshot->through + 1 < m_state.nextOffset())
+            return false;
+        m_state.loadSnapshot(snapshot->data, snapshot->through);
+        m_collecting = false;
+        restartTail();
+        for (const read_batch &item : std::exchange(m_collected, {}))
+            foldBatch(item, onRecord);
+        return true;
+    }
+
+    void foldBatch(const read_batch &batch, const record_callback &onRecord)
+    {
+        const std::vector<fold_result> results = m_state.apply(batch.stored);
+        if (batch.stored.offset + 1 > m_tailNext)
+            keepForPeers(batch.stored);
+        const auto &records = batch.stored.batch.records;
+        for (std::size_t i = 0; i < records.size(); ++i) {
+            const auto ticket = i < batch.tickets.size()
+                                        ? std::optional<std::uint64_t>(batch.tickets[i])
+                                        : std::nullopt;
+            if (i < results.size())
+                onRecord(records[i], results[i], ticket);
+            else if (ticket)
+                onRecord(records[i], ignoredResult(batch, i), ticket);
+        }
+        countForSnapshot(records);
+    }
+
+    static fold_result ignoredResult(const read_batch &batch, std::size_t index)
+    {
+        return { .position = log_position::of(batch.stored.offset, index),
+                 .accepted = false,
+                 .reason = "the batch was already folded",
+                 .current = {} };
+    }
+
+    void countForSnapshot(const std::vector<log_record> &records)
+    {
+        for (const log_record &record : records) {
+            const auto *part = std::get_if<snapshot_part>(&record);
+            if (!part)
+                ++m_recordsSinceSnapshot;
+            else if (part->part + 1 == part->parts)
+                m_recordsSinceSnapshot = 0;
+        }
+    }
+
+    void keepForPeers(const stored_batch &stored)
+    {
+        m_tailNext = stored.offset + 1;
+        m_tailRecords += stored.batch.records.size();
+        m_tail.push_back(stored);
+        while (m_tailRecords > maxTailRecords) {
+            m_tailRecords -= m_tail.front().batch.records.size();
+            m_tailFrom = m_tail.front().offset + 1;
+            m_tail.pop_front();
+        }
+    }
+
+    void restartTail()
+    {
+        m_tail.clear();
+        m_tailRecords = 0;
+        m_tailFrom = m_state.nextOffset();
+        m_tailNext = m_state.nextOffset();
+    }
+
+    std::string m_stream;
+    std::uint64_t m_producer;
+    log_pipeline m_pipeline;
+    State m_state;
+    bool m_collecting = false;
+    bool m_loadedFromPeer = false;
+    snapshot_reader m_snapshots;
+    std::vector<read_batch> m_collected;
+    std::deque<stored_batch> m_tail;
+    std::size_t m_tailRecords = 0;
+    std::uint64_t m_tailFrom = 0;
+    std::uint64_t m_tailNext = 0;
+    std::uint64_t m_recordsSinceSnapshot = 0;
+};
+
+} // namespace plantainpitch::detail
