--- a/testsuite/matrix/observer.h
+++ b/testsuite/matrix/observer.h
@@ -32,15 +32,14 @@
     void onOutcome(std::uint64_t number, bool repeated, outcome_kind outcome, bool ownWholeAnswer);
     void onDrainStarted(instant now, const std::string &vm);
     void onVmReplaced(const std::string &vm);
+    /// An accepted job did not end, or ended without success.
+    void onJobLost(const std::string &what);
     void onPlannedStopCut(const std::string &what);
 
     // Configuration.
     void onRevisionSeen(const std::string &process, std::uint64_t revision);
     void onLateRevision(const std::string &process, std::uint64_t revision);
 
-    /// Checks what can only be known at the end.
-    void finish();
-
     [[nodiscard]] const std::vector<std::string> &violations() const { return m_violations; }
     [[nodiscard]] std::uint64_t finishedTasks() const { return m_finished.size(); }
     [[nodiscard]] std::uint64_t outcomes(outcome_kind kind) const;
