--- a/testsuite/matrix/observer.cpp
+++ b/testsuite/matrix/observer.cpp
@@ -110,7 +110,10 @@
     violate(9, process + " has not applied revision " + std::to_string(revision) + " in time");
 }
 
-void observer::finish() {}
+void observer::onJobLost(const std::string &what)
+{
+    m_violations.push_back("task lost: " + what);
+}
 
 std::uint64_t observer::outcomes(outcome_kind kind) const
 {
