Add the folds, the log pipeline and the configuration documents

Repeats are recognised by a window over the stream instead of a table of all producers that ever appended: the sequence of a batch is the end of the stream as its producer knew it, so that a batch that lies far behind can be told from its offset alone and its producer can be forgotten.

--- a/src/include/plantainpitch/log/cell_state.h
+++ b/src/include/plantainpitch/log/cell_state.h
@@ -2,7 +2,8 @@
 
 #include "plantainpitch/log/fold_result.h"
 #include "plantainpitch/log/job_state.h"
-#include "plantainpitch/log/key_state.h"
+#include "plantainpitch/log/key_table.h"
+#include "plantainpitch/log/producer_window.h"
 #include "plantainpitch/log/stored_batch.h"
 #include "plantainpitch/model/task_id.h"
 
@@ -20,7 +21,8 @@
 {
 public:
     /// Folds a batch; batches must come in offset order. Returns one result per record; empty for
-    /// a batch that was already folded (same producer and sequence, or an old offset).
+    /// a batch that was already folded (same producer and sequence, or an old offset) or that is
+    /// too late to be folded (see producer_window).
     std::vector<fold_result> apply(const stored_batch &stored);
 
     [[nodiscard]] const job_state *findJob(const std::string &job) const;
@@ -44,11 +46,38 @@
     void loadSnapshot(const std::string &data, std::uint64_t through);
 
 private:
+    fold_result fold(const job_submitted &record, log_position at);
+    fold_result fold(const job_cancelled &record, log_position at);
+    fold_result fold(const task_claimed &record, log_position at);
+    fold_result fold(const task_adopted &record, log_position at);
+    fold_result fold(const task_released &record, log_position at);
+    fold_result fold(const task_finished &record, log_position at);
+    fold_result fold(const task_failed &record, log_position at);
+    fold_result fold(const task_revoked &record, log_position at);
+    fold_result fold(const key_claimed &record, log_position at);
+    fold_result fold(const key_finished &record, log_position at);
+    fold_result fold(const key_released &record, log_position at);
+    fold_result fold(const snapshot_part &record, log_position at);
+    fold_result fold(const config_change &record, log_position at);
+
+    /// A task that a record names, with its job; both null if unknown.
+    struct found_task
+    {
+        job_state *job = nullptr;
+        task_state *task = nullptr;
+    };
+    found_task find(const task_id &id);
+    void setPhase(const task_id &id, found_task found, task_phase phase, log_position at);
+    void addHeld(const std::string &vm, const task_id &id);
+    void removeHeld(const std::string &vm, const task_id &id);
+    void rebuildIndexes();
+
     std::unordered_map<std::string, job_state> m_jobs;
-    std::unordered_map<std::string, key_state> m_keys; ///< by account + '\n' + key
-    std::unordered_map<std::string, std::set<task_id>> m_heldByVm;
+    key_table m_keys;
+    std::unordered_map<std::string, std::vector<task_id>> m_heldByVm;
     std::set<task_id> m_unplaced;
-    std::unordered_map<std::uint64_t, std::uint64_t> m_lastSequence; ///< by producer
+    producer_window m_producers;
+    std::uint64_t m_producer = 0; ///< of the batch that is being folded
     std::uint64_t m_nextOffset = 0;
 };
 
--- a/src/include/plantainpitch/log/config_state.h
+++ b/src/include/plantainpitch/log/config_state.h
@@ -2,6 +2,7 @@
 
 #include "plantainpitch/log/config_entity.h"
 #include "plantainpitch/log/fold_result.h"
+#include "plantainpitch/log/producer_window.h"
 #include "plantainpitch/log/stored_batch.h"
 #include "plantainpitch/model/work_parameters.h"
 #include "plantainpitch/model/work_template.h"
@@ -10,7 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace plantainpitch {
@@ -20,11 +21,13 @@
 {
 public:
     /// Folds a batch; batches must come in offset order. Returns one result per record; empty for
-    /// a batch that was already folded (same producer and sequence, or an old offset).
+    /// a batch that was already folded (same producer and sequence, or an old offset) or that is
+    /// too late to be folded (see producer_window).
     std::vector<fold_result> apply(const stored_batch &stored);
 
     /// Applies an entity received from an entry; ignored unless its revision is higher than the
-    /// known one. Returns true if it was applied.
+    /// known one and its document is valid. Returns true if it was applied. For agents only: a
+    /// state that folds the stream must not take entities from elsewhere.
     bool applyEntity(const config_entity &entity);
 
     /// Null if unknown or removed.
@@ -56,8 +59,15 @@
         std::optional<work_parameters> parsedParameters;
     };
 
-    std::map<std::pair<config_kind, std::string>, parsed_entity> m_entities;
-    std::unordered_map<std::uint64_t, std::uint64_t> m_lastSequence; ///< by producer
+    using entity_key = std::pair<config_kind, std::string>;
+
+    static parsed_entity parse(config_entity entity);
+    fold_result fold(const config_change &change, log_position at);
+    void store(parsed_entity parsed);
+    [[nodiscard]] const parsed_entity *find(config_kind kind, const std::string &name) const;
+
+    std::map<entity_key, parsed_entity> m_entities;
+    producer_window m_producers;
     log_position m_revision;
     std::uint64_t m_nextOffset = 0;
 };
--- a/src/include/plantainpitch/log/read_answer.h
+++ b/src/include/plantainpitch/log/read_answer.h
@@ -8,7 +8,8 @@
 
 namespace plantainpitch {
 
-/// Answer to a read_call.
+/// Answer to a read_call. Has one batch for each offset; for a blob that cannot be decoded, one
+/// with no records and sequence 0.
 struct read_answer
 {
     std::uint64_t callId = 0;
--- a/src/include/plantainpitch/log/record/job_submitted.h
+++ b/src/include/plantainpitch/log/record/job_submitted.h
@@ -9,9 +9,13 @@
 
 namespace plantainpitch {
 
-/// Creates a job; its tasks start as pending. Accepted if the job id is unknown.
+/// Creates a job; its tasks start as pending. Accepted if the job id is unknown
+/// and the task count is in range.
 struct job_submitted
 {
+    /// Bounds the memory that one record can take; larger jobs are refused.
+    static constexpr std::uint32_t maxTaskCount = 100'000;
+
     std::string job;
     std::string templateName;
     std::string account;
--- /dev/null
+++ b/src/liblog/cell_state.cpp
@@ -0,0 +1,97 @@
+#include "plantainpitch/log/cell_state.h"
+
+#include "fold_results.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace plantainpitch {
+
+std::vector<fold_result> cell_state::apply(const stored_batch &stored)
+{
+    if (stored.offset < m_nextOffset)
+        return {};
+    m_nextOffset = stored.offset + 1;
+    if (m_producers.forgetOld(stored.offset))
+        m_keys.forgetProducers(m_producers);
+    if (!m_producers.admit(stored))
+        return {};
+
+    m_producer = stored.batch.producer;
+    std::vector<fold_result> results;
+    results.reserve(stored.batch.records.size());
+    for (const log_record &record : stored.batch.records) {
+        const log_position at = log_position::of(stored.offset, results.size());
+        results.push_back(std::visit([&](const auto &r) { return fold(r, at); }, record));
+    }
+    return results;
+}
+
+const job_state *cell_state::findJob(const std::string &job) const
+{
+    const auto it = m_jobs.find(job);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+const task_state *cell_state::findTask(const task_id &task) const
+{
+    const job_state *job = findJob(task.job);
+    return job != nullptr && task.index < job->tasks.size() ? &job->tasks[task.index] : nullptr;
+}
+
+const key_state *cell_state::findKey(const std::string &account, const std::string &key) const
+{
+    return m_keys.find(key_table::name(account, key));
+}
+
+std::vector<task_id> cell_state::tasksHeldBy(const std::string &vm) const
+{
+    const auto it = m_heldByVm.find(vm);
+    if (it == m_heldByVm.end())
+        return {};
+    std::vector<task_id> tasks = it->second;
+    std::sort(tasks.begin(), tasks.end());
+    return tasks;
+}
+
+cell_state::found_task cell_state::find(const task_id &id)
+{
+    const auto it = m_jobs.find(id.job);
+    if (it == m_jobs.end() || id.index >= it->second.tasks.size())
+        return {};
+    return { .job = &it->second, .task = &it->second.tasks[id.index] };
+}
+
+void cell_state::addHeld(const std::string &vm, const task_id &id)
+{
+    m_heldByVm[vm].push_back(id);
+}
+
+void cell_state::removeHeld(const std::string &vm, const task_id &id)
+{
+    const auto it = m_heldByVm.find(vm);
+    if (it == m_heldByVm.end())
+        return;
+    std::vector<task_id> &tasks = it->second;
+    const auto task = std::find_if(tasks.begin(), tasks.end(), [&id](const task_id &held) {
+        return held.index == id.index && held.job == id.job;
+    });
+    if (task != tasks.end()) {
+        std::swap(*task, tasks.back());
+        tasks.pop_back();
+    }
+    if (tasks.empty())
+        m_heldByVm.erase(it);
+}
+
+fold_result cell_state::fold(const snapshot_part &, log_position at)
+{
+    return detail::acceptedAt(at, {});
+}
+
+fold_result cell_state::fold(const config_change &, log_position at)
+{
+    return detail::refusedAt(at, "configuration does not belong to this stream");
+}
+
+} // namespace plantainpitch
