--- a/src/include/plantainpitch/log/key_table.h
+++ b/src/include/plantainpitch/log/key_table.h
@@ -20,6 +20,12 @@
     /// Time for which a key is kept after its claim.
     static constexpr std::int64_t keepMs = 24LL * 60 * 60 * 1000;
 
+    /// Bounds claim times so that adding a day to them cannot overflow.
+    [[nodiscard]] static constexpr bool isValidTime(std::int64_t ms)
+    {
+        return ms >= 0 && ms < std::int64_t(1) << 53U;
+    }
+
     struct stored_key
     {
         key_state state;
--- a/src/include/plantainpitch/log/task_phase.h
+++ b/src/include/plantainpitch/log/task_phase.h
@@ -13,4 +13,16 @@
            || phase == task_phase::cancelled;
 }
 
+/// True if a VM has a claim on the task.
+constexpr bool isHeld(task_phase phase)
+{
+    return phase == task_phase::claimed || phase == task_phase::revoking;
+}
+
+/// True if the task may be claimed.
+constexpr bool isUnplaced(task_phase phase)
+{
+    return phase == task_phase::pending || phase == task_phase::revoking;
+}
+
 } // namespace plantainpitch
--- a/src/liblog/cell_state_keys.cpp
+++ b/src/liblog/cell_state_keys.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Bounds claim times so that adding a day to them cannot overflow.
-constexpr std::int64_t maxClaimedMs = std::int64_t(1) << 53;
-
 constexpr std::size_t maxStoredBodyBytes = 2048;
 
 template <class record>
@@ -24,7 +21,7 @@
 
 fold_result cell_state::fold(const key_claimed &record, log_position at)
 {
-    if (record.claimedMs < 0 || record.claimedMs > maxClaimedMs)
+    if (!key_table::isValidTime(record.claimedMs))
         return refusedAt(at, "claim time is out of range");
     // Refused claims tell the time as well.
     m_keys.observe(m_producer, record.claimedMs);
--- a/src/liblog/cell_state_tasks.cpp
+++ b/src/liblog/cell_state_tasks.cpp
@@ -13,16 +13,6 @@
 
 constexpr std::size_t maxFailedVms = 8;
 
-bool isHeld(task_phase phase)
-{
-    return phase == task_phase::claimed || phase == task_phase::revoking;
-}
-
-bool isUnplaced(task_phase phase)
-{
-    return phase == task_phase::pending || phase == task_phase::revoking;
-}
-
 bool isHeldUnder(const task_state &task, log_position attempt)
 {
     return isHeld(task.phase) && task.attempt == attempt;
