Add request_router and request_admission

The entry settles every caller's request with one of three outcomes; the agent decides which dispatches run. Refusals and cancellations are remembered by the agent, because a repeated dispatch after a refusal would otherwise run although the entry has reported "not run".

The routing uses least connections until the ejecting policy is there.

--- a/src/include/plantainpitch/role/request_admission.h
+++ b/src/include/plantainpitch/role/request_admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainpitch/model/instant.h"
+#include "plantainpitch/policy/admission_policy.h"
 #include "plantainpitch/role/action.h"
 #include "plantainpitch/role/message/cancel.h"
 #include "plantainpitch/role/message/dispatch.h"
@@ -8,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -21,6 +23,10 @@
     std::uint32_t queueLimit = 32;
     std::size_t rememberedRequests = 4096; ///< ended requests and tombstones
     duration rememberedFor = std::chrono::seconds(60);
+    /// Bodies of remembered answers; the agent's whole memory is bounded at 128 MB.
+    std::size_t rememberedBytes = 16U << 20U;
+    /// Nothing: queue_admission.
+    std::function<std::unique_ptr<admission_policy>()> makeAdmissionPolicy;
 };
 
 /// Decides which dispatched requests run on the endpoint, and when. Not thread-safe.
--- a/src/include/plantainpitch/role/request_router.h
+++ b/src/include/plantainpitch/role/request_router.h
@@ -3,12 +3,16 @@
 #include "plantainpitch/log/key_state.h"
 #include "plantainpitch/model/instant.h"
 #include "plantainpitch/model/work_template.h"
+#include "plantainpitch/policy/hedge_policy.h"
+#include "plantainpitch/policy/retry_budget.h"
+#include "plantainpitch/policy/routing_policy.h"
 #include "plantainpitch/role/action.h"
 #include "plantainpitch/role/caller_request.h"
 #include "plantainpitch/role/endpoint_info.h"
 #include "plantainpitch/role/record_outcome.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +27,11 @@
     std::uint64_t numberStep = 1; ///< number of router shards
     std::size_t maxInFlight = 10'000;
     double retryBudgetRatio = 0.1; ///< retries per request
+
+    // Policies of each service. Nothing: the default.
+    std::function<std::unique_ptr<routing_policy>(std::uint64_t seed)> makeRoutingPolicy;
+    std::function<std::unique_ptr<retry_budget>()> makeRetryBudget;
+    std::function<std::unique_ptr<hedge_policy>()> makeHedgePolicy;
 };
 
 /// Routes callers' requests to endpoints and settles each with exactly one answer_caller.
--- /dev/null
+++ b/src/librole/detail/endpoint_table.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "plantainpitch/policy/routing_policy.h"
+#include "plantainpitch/role/endpoint_info.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace plantainpitch::detail {
+
+struct known_endpoint
+{
+    endpoint_info info; ///< connection 0: not connected
+    std::unordered_set<std::uint64_t> inFlight; ///< numbers of requests with an open attempt
+};
+
+/// Endpoints of one service by number, connection and agent incarnation. A disconnected endpoint
+/// stays as long as requests in flight on it are unsettled.
+class endpoint_table
+{
+public:
+    /// Adds the endpoint, or replaces what is known of this agent incarnation.
+    endpoint_number put(const endpoint_info &info);
+    void disconnect(endpoint_number number);
+    /// Removes the endpoint if it is disconnected and has nothing in flight.
+    bool removeIfUnused(endpoint_number number);
+
+    [[nodiscard]] std::optional<endpoint_number> byConnection(connection_id connection) const;
+    [[nodiscard]] std::optional<endpoint_number> byIncarnation(std::uint64_t incarnation) const;
+    /// Disconnected endpoints of this VM with another agent incarnation.
+    [[nodiscard]] std::vector<endpoint_number> replacedBy(const endpoint_info &info) const;
+    [[nodiscard]] std::vector<endpoint_number> connected() const;
+
+    known_endpoint &operator[](endpoint_number number) { return m_endpoints[number]; }
+    const known_endpoint &operator[](endpoint_number number) const { return m_endpoints[number]; }
+
+private:
+    std::vector<known_endpoint> m_endpoints;
+    std::vector<endpoint_number> m_free;
+    std::unordered_map<connection_id, endpoint_number> m_byConnection;
+    std::unordered_map<std::uint64_t, endpoint_number> m_byIncarnation;
+};
+
+} // namespace plantainpitch::detail
--- /dev/null
+++ b/src/librole/key_guard.cpp
@@ -0,0 +1,131 @@
+#include "detail/key_guard.h"
+
+#include <string_view>
+#include <utility>
+
+namespace plantainpitch::detail {
+
+namespace {
+
+constexpr std::size_t maxStoredBodyBytes = 2048;
+/// Bounds the memory used in a long outage. A record dropped here leaves its key held, which is
+/// answered as unknown.
+constexpr std::size_t maxRefusedRecords = 10'000;
+constexpr duration resubmitInterval = std::chrono::seconds(1);
+/// The log takes several hundred appends a second for all processes, in batches of up to 500.
+constexpr std::size_t maxResubmittedAtOnce = 200;
+
+void addToHash(std::uint64_t &hash, std::string_view text)
+{
+    // FNV-1a; the length keeps "ab" + "c" apart from "a" + "bc".
+    const auto addByte = [&hash](std::uint64_t byte) { hash = (hash ^ byte) * 0x100000001B3ULL; };
+    for (unsigned shift = 0; shift < 64; shift += 8)
+        addByte((static_cast<std::uint64_t>(text.size()) >> shift) & 0xFFU);
+    for (const char c : text)
+        addByte(static_cast<unsigned char>(c));
+}
+
+} // namespace
+
+std::uint64_t requestDigest(const service_request &request)
+{
+    std::uint64_t hash = 0xCBF29CE484222325ULL;
+    addToHash(hash, request.templateName);
+    addToHash(hash, request.method);
+    addToHash(hash, request.path);
+    addToHash(hash, request.body);
+    return hash;
+}
+
+key_guard::key_guard(std::uint64_t entry, std::uint64_t firstToken, std::uint64_t step)
+    : m_entry(entry)
+    , m_nextToken(firstToken)
+    , m_step(step)
+{}
+
+void key_guard::submitClaim(std::uint64_t number, const caller_request &caller,
+                            action_list &actions)
+{
+    const claim wanted{ .number = number,
+                        .account = caller.request.account,
+                        .key = caller.idempotencyKey,
+                        .digest = requestDigest(caller.request) };
+    const std::uint64_t token = takeToken();
+    m_claims.emplace(token, wanted);
+    actions.emplace_back(submit_record{ .token = token,
+                                        .record = key_claimed{ .account = wanted.account,
+                                                               .key = wanted.key,
+                                                               .entry = m_entry,
+                                                               .request = number,
+                                                               .digest = wanted.digest,
+                                                               .claimedMs = caller.nowMs } });
+}
+
+std::optional<key_guard::claim> key_guard::takeClaim(std::uint64_t token)
+{
+    const auto found = m_claims.find(token);
+    if (found == m_claims.end())
+        return std::nullopt;
+    std::optional<claim> taken = std::move(found->second);
+    m_claims.erase(found);
+    return taken;
+}
+
+void key_guard::submitFinished(std::uint64_t number, const caller_request &caller,
+                               const service_answer &content, action_list &actions)
+{
+    const bool isStored = content.body.size() <= maxStoredBodyBytes;
+    submit(key_finished{ .account = caller.request.account,
+                         .key = caller.idempotencyKey,
+                         .entry = m_entry,
+                         .request = number,
+                         .status = content.status,
+                         .body = isStored ? content.body : std::string(),
+                         .bodyStored = isStored },
+           actions);
+}
+
+void key_guard::submitReleased(std::uint64_t number, const std::string &account,
+                               const std::string &key, action_list &actions)
+{
+    submit(key_released{ .account = account, .key = key, .entry = m_entry, .request = number },
+           actions);
+}
+
+void key_guard::onRecordOutcome(const record_outcome &outcome, action_list &actions)
+{
+    const auto found = m_submitted.find(outcome.token);
+    if (found == m_submitted.end())
+        return;
+    if (!outcome.taken) {
+        actions.emplace_back(count_metric{ .name = "key_records_not_taken_total" });
+        if (m_refused.size() < maxRefusedRecords)
+            m_refused.push_back(std::move(found->second));
+    }
+    m_submitted.erase(found);
+}
+
+void key_guard::resubmit(instant now, action_list &actions)
+{
+    if (m_refused.empty() || now < m_nextResubmit)
+        return;
+    m_nextResubmit = now + resubmitInterval;
+    for (std::size_t i = 0; i < maxResubmittedAtOnce && !m_refused.empty(); ++i) {
+        submit(std::move(m_refused.front()), actions);
+        m_refused.pop_front();
+    }
+}
+
+void key_guard::submit(log_record record, action_list &actions)
+{
+    const std::uint64_t token = takeToken();
+    actions.emplace_back(submit_record{ .token = token, .record = record });
+    m_submitted.emplace(token, std::move(record));
+}
+
+std::uint64_t key_guard::takeToken()
+{
+    return std::exchange(m_nextToken, m_nextToken + m_step);
+}
+
+} // namespace plantainpitch::detail
--- /dev/null
+++ b/src/librole/router_outcomes.cpp
@@ -0,0 +1,65 @@
+#include "detail/router_state.h"
+
+#include "detail/outcome_text.h"
+
+namespace plantainpitch {
+
+void request_router::state::finishAnswered(instant now, std::uint64_t number,
+                                           const service_answer &content)
+{
+    const auto &request = pending.at(number);
+    if (request.holdsKey)
+        keys.submitFinished(number, request.caller, content, actions);
+    actions.emplace_back(observe_latency{ .name = "request_latency",
+                                          .label = request.caller.request.templateName,
+                                          .value = now - request.arrived });
+    finish(now, number,
+           { .outcome = outcome_kind::answered, .status = content.status, .content = content });
+}
+
+void request_router::state::finishNotRun(instant now, std::uint64_t number, std::string_view reason)
+{
+    const auto &request = pending.at(number);
+    const auto text = detail::outcomeText(outcome_kind::not_run, reason);
+    if (request.holdsKey)
+        keys.submitReleased(number, request.caller.request.account, request.caller.idempotencyKey,
+                            actions);
+    count("not_run_total", reason);
+    finish(now, number,
+           { .outcome = outcome_kind::not_run,
+             .status = text.status,
+             .reason = std::string(reason),
+             .remedy = std::string(text.remedy) });
+}
+
+void request_router::state::finishUnknown(instant now, std::uint64_t number,
+                                          std::string_view reason)
+{
+    const auto text = detail::outcomeText(outcome_kind::unknown, reason);
+    count("unknown_total", reason);
+    finish(now, number,
+           { .outcome = outcome_kind::unknown,
+             .status = text.status,
+             .reason = std::string(reason),
+             .remedy = std::string(text.remedy) });
+}
+
+void request_router::state::finish(instant now, std::uint64_t number, answer_caller reply)
+{
+    auto &request = pending.at(number);
+    // Work that nobody waits for is stopped if it has not started.
+    cancelOpenAttempts(request);
+    for (auto &attempt : request.attempts) {
+        if (attempt.isOpen())
+            endAttempt(now, request, attempt, detail::attempt_state::may_have_run,
+                       dispatch_end::abandoned);
+    }
+    reply.callerId = request.caller.callerId;
+    reply.requestId = request_id{ .entry = options.entry, .number = number }.toString();
+    count("requests_total", toString(reply.outcome));
+    actions.emplace_back(std::move(reply));
+    byCaller.erase(request.caller.callerId);
+    pending.erase(number);
+}
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/librole/router_requests.cpp
@@ -0,0 +1,229 @@
+#include "detail/router_state.h"
+
+#include "detail/outcome_text.h"
+
+#include <algorithm>
+
+namespace plantainpitch {
+
+namespace {
+
+/// More dispatches of one request than this mean that the service is at fault, not an endpoint.
+constexpr std::size_t maxAttempts = 5;
+
+/// The agent is given slightly less time than is left, so that its refusal of expired work arrives
+/// before the deadline.
+duration timeForAgent(duration left)
+{
+    return left - std::min(left / 10, duration(std::chrono::milliseconds(10)));
+}
+
+} // namespace
+
+void request_router::state::onRequest(instant now, const caller_request &request)
+{
+    const auto found = services.find(request.request.templateName);
+    const auto *service = found == services.end() ? nullptr : found->second.get();
+    if (!service || !service->definition || service->definition->kind != task_kind::service) {
+        refuseCaller(request, "unknown_service");
+        return;
+    }
+    if (request.timeoutMs < 0) {
+        refuseCaller(request, "invalid_timeout");
+        return;
+    }
+    if (pending.size() >= options.maxInFlight) {
+        refuseCaller(request, "entry_overloaded");
+        return;
+    }
+    const auto &definition = *service->definition;
+    // A day bounds what a caller can make this process keep.
+    const std::int64_t timeoutMs = std::min<std::int64_t>(
+            request.timeoutMs > 0 ? request.timeoutMs : definition.requestTimeoutMs, 86'400'000);
+    const std::uint64_t number = std::exchange(nextNumber, nextNumber + options.numberStep);
+    auto &added = pending[number];
+    added = { .number = number, .caller = request, .arrived = now };
+    added.idempotent =
+            detail::isIdempotent(definition, request.request.method, request.request.path);
+    added.deadline = now + std::chrono::milliseconds(timeoutMs);
+    byCaller[request.callerId] = number;
+    service->retries->onRequest();
+    service->hedging->onRequest();
+    if (!added.idempotent && !request.idempotencyKey.empty()) {
+        added.claimingKey = true;
+        keys.submitClaim(number, request, actions);
+        scheduleWake(added);
+        return;
+    }
+    dispatchFirst(now, added);
+}
+
+void request_router::state::refuseCaller(const caller_request &request, std::string_view reason)
+{
+    const auto text = detail::outcomeText(outcome_kind::not_run, reason);
+    count("requests_total", toString(outcome_kind::not_run));
+    count("not_run_total", reason);
+    actions.emplace_back(answer_caller{ .callerId = request.callerId,
+                                        .outcome = outcome_kind::not_run,
+                                        .status = text.status,
+                                        .reason = std::string(reason),
+                                        .remedy = std::string(text.remedy) });
+}
+
+void request_router::state::dispatchFirst(instant now, pending_request &request)
+{
+    if (request.deadline <= now)
+        finishNotRun(now, request.number, "deadline_passed");
+    else if (request.callerGone)
+        finishNotRun(now, request.number, "caller_gone");
+    else if (!dispatchNext(now, request))
+        finishNotRun(now, request.number, "no_endpoint");
+}
+
+bool request_router::state::dispatchNext(instant now, pending_request &request)
+{
+    auto &service = serviceOf(request.caller.request.templateName);
+    std::vector<endpoint_number> tried;
+    for (const auto &attempt : request.attempts)
+        tried.push_back(attempt.endpoint);
+    const auto chosen = service.routing->choose(now, tried);
+    if (!chosen)
+        return false;
+    auto &endpoint = service.endpoints[*chosen];
+    const auto attemptNumber = static_cast<std::uint32_t>(request.attempts.size() + 1);
+    request.attempts.push_back({ .number = attemptNumber,
+                                 .endpoint = *chosen,
+                                 .connection = endpoint.info.connection,
+                                 .agent = endpoint.info.incarnation,
+                                 .sentAt = now });
+    endpoint.inFlight.insert(request.number);
+    service.routing->onDispatched(now, *chosen);
+    send(endpoint.info.connection,
+         dispatch{ .id = { .entry = options.entry, .number = request.number },
+                   .attempt = attemptNumber,
+                   .timeLeftUs = timeForAgent(request.deadline - now).count(),
+                   .idempotent = request.idempotent,
+                   .request = request.caller.request });
+    scheduleWake(request);
+    return true;
+}
+
+void request_router::state::retryOrFinish(instant now, std::uint64_t number,
+                                          std::string_view retryReason)
+{
+    auto *request = find(number);
+    if (!request || request->hasOpenAttempt())
+        return;
+    const bool allowed = request->idempotent || request->provenNotRun();
+    if (allowed && !request->callerGone && request->deadline > now
+        && request->attempts.size() < maxAttempts) {
+        if (!serviceOf(request->caller.request.templateName).retries->tryTake()) {
+            count("retries_withheld_total", retryReason);
+        } else if (dispatchNext(now, *request)) {
+            count("retries_total", retryReason);
+            return;
+        }
+    }
+    if (request->provenNotRun())
+        finishNotRun(now, number, request->lastReason);
+    else
+        finishUnknown(now, number, request->lastReason);
+}
+
+instant request_router::state::nextWake(const pending_request &request) const
+{
+    if (!request.idempotent || request.attempts.empty() || request.attempts.back().slow)
+        return request.deadline;
+    const auto &last = request.attempts.back();
+    // An idempotent attempt gets half of the time that was left when it was sent.
+    instant next = last.sentAt + (request.deadline - last.sentAt) / 2;
+    const auto &service = *services.at(request.caller.request.templateName);
+    const auto hedgeDelay = service.hedging->delay();
+    if (hedgeDelay && !request.hedged)
+        next = std::min(next, last.sentAt + *hedgeDelay);
+    return std::min(next, request.deadline);
+}
+
+void request_router::state::scheduleWake(const pending_request &request)
+{
+    wakes.emplace(nextWake(request), request.number);
+}
+
+void request_router::state::wakeDue(instant now)
+{
+    while (!wakes.empty() && wakes.top().first <= now) {
+        const std::uint64_t number = wakes.top().second;
+        wakes.pop();
+        onWake(now, number);
+    }
+}
+
+void request_router::state::onWake(instant now, std::uint64_t number)
+{
+    auto *request = find(number);
+    if (!request)
+        return;
+    if (request->deadline <= now) {
+        onDeadline(now, number);
+        return;
+    }
+    if (nextWake(*request) > now) {
+        scheduleWake(*request);
+        return;
+    }
+    auto &service = serviceOf(request->caller.request.templateName);
+    auto &last = request->attempts.back();
+    const bool timedOut = last.sentAt + (request->deadline - last.sentAt) / 2 <= now;
+    // Set first: dispatchNext() adds to the attempts.
+    const bool hedges = !timedOut;
+    if (timedOut)
+        last.slow = true;
+    request->hedged = true;
+    const bool allowed = request->attempts.size() < maxAttempts
+                         && (hedges ? service.hedging->tryTake() : service.retries->tryTake());
+    if (allowed && dispatchNext(now, *request))
+        count(hedges ? "hedges_total" : "retries_total", hedges ? "slow" : "timeout");
+    else
+        scheduleWake(*request);
+}
+
+void request_router::state::onDeadline(instant now, std::uint64_t number)
+{
+    const auto &request = pending.at(number);
+    if (request.provenNotRun()) {
+        finishNotRun(now, number, "deadline_passed");
+        return;
+    }
+    const bool lost =
+            std::any_of(request.attempts.begin(), request.attempts.end(), [](const auto &attempt) {
+                return attempt.state == detail::attempt_state::lost;
+            });
+    finishUnknown(now, number, lost ? "connection_lost" : "deadline_passed");
+}
+
+void request_router::state::endAttempt(instant now, pending_request &request,
+                                       dispatch_attempt &attempt, detail::attempt_state state,
+                                       dispatch_end end)
+{
+    const bool wasOpen = attempt.isOpen();
+    attempt.state = state;
+    if (!wasOpen)
+        return;
+    auto &service = serviceOf(request.caller.request.templateName);
+    if (attempt.counted)
+        service.routing->onEnded(now, attempt.endpoint, end, now - attempt.sentAt);
+    attempt.counted = false;
+    service.endpoints[attempt.endpoint].inFlight.erase(request.number);
+    service.endpoints.removeIfUnused(attempt.endpoint);
+}
+
+void request_router::state::cancelOpenAttempts(const pending_request &request)
+{
+    for (const auto &attempt : request.attempts) {
+        if (attempt.state == detail::attempt_state::open)
+            send(attempt.connection,
+                 cancel{ .id = { options.entry, request.number }, .attempt = attempt.number });
+    }
+}
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/librole/router_state.cpp
@@ -0,0 +1,62 @@
+#include "detail/router_state.h"
+
+#include "plantainpitch/policy/least_connections.h"
+#include "plantainpitch/policy/no_hedging.h"
+#include "plantainpitch/policy/token_bucket.h"
+
+#include <utility>
+
+namespace plantainpitch {
+
+namespace {
+
+std::unique_ptr<routing_policy> defaultRouting(const request_router_options & /*options*/,
+                                               std::uint64_t seed)
+{
+    return std::make_unique<least_connections>(seed);
+}
+
+} // namespace
+
+request_router::state::state(request_router_options value, std::uint64_t seedValue)
+    : options(std::move(value))
+    , seed(seedValue)
+    , nextNumber(options.firstNumber)
+    , keys(options.entry, options.firstNumber, options.numberStep)
+{}
+
+detail::router_service &request_router::state::serviceOf(const std::string &templateName)
+{
+    auto &service = services[templateName];
+    if (!service) {
+        service = std::make_unique<router_service>();
+        // Each service has its own generator: one service's load must not change another's choices.
+        const std::uint64_t ownSeed = seed + services.size();
+        service->routing = options.makeRoutingPolicy ? options.makeRoutingPolicy(ownSeed)
+                                                     : defaultRouting(options, ownSeed);
+        service->retries = options.makeRetryBudget
+                                   ? options.makeRetryBudget()
+                                   : std::make_unique<token_bucket>(options.retryBudgetRatio);
+        service->hedging = options.makeHedgePolicy ? options.makeHedgePolicy()
+                                                   : std::make_unique<no_hedging>();
+    }
+    return *service;
+}
+
+void request_router::state::send(connection_id to, message content)
+{
+    actions.emplace_back(send_message{ .connection = to, .content = std::move(content) });
+}
+
+void request_router::state::count(std::string name, std::string_view label)
+{
+    actions.emplace_back(count_metric{ .name = std::move(name), .label = std::string(label) });
+}
+
+detail::pending_request *request_router::state::find(std::uint64_t number)
+{
+    const auto found = pending.find(number);
+    return found == pending.end() ? nullptr : &found->second;
+}
+
+} // namespace plantainpitch
