--- a/src/include/plantainpitch/role/task_holder.h
+++ b/src/include/plantainpitch/role/task_holder.h
@@ -26,6 +26,9 @@
     duration revocationMargin = std::chrono::milliseconds(500);
     double checkpointAtRatio = 0.70; ///< share of the term without confirmation
     double stopAtRatio = 0.85;
+    /// Longest authority term of any template. The term of a claim of an earlier agent process is
+    /// not known here; its calls to the worker may arrive until this term and the margin passed.
+    duration longestTerm = std::chrono::seconds(60);
 };
 
 /// Claims, starts, keeps and gives back the tasks of one VM. The only place that gives out the
--- /dev/null
+++ b/src/librole/authority_clock.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "plantainpitch/model/instant.h"
+#include "plantainpitch/role/message/authority_grant.h"
+#include "plantainpitch/role/message/authority_request.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plantainpitch {
+
+/// Remembers when each authority_request was sent: an authority counts from that time, not from
+/// the arrival of the grant.
+class authority_clock
+{
+public:
+    struct sent_request
+    {
+        instant sentAt;
+        std::vector<held_task> held;
+    };
+
+    authority_clock(std::uint64_t firstNonce, duration interval)
+        : m_nextNonce(firstNonce)
+        , m_interval(interval)
+    {}
+
+    [[nodiscard]] bool due(instant now) const
+    {
+        return !m_lastSent || now >= *m_lastSent + m_interval;
+    }
+    void makeDue() { m_lastSent.reset(); }
+    authority_request request(instant now, const std::string &vm, std::vector<held_task> held);
+    /// The request that the grant answers; none for a repeated or unknown nonce.
+    std::optional<sent_request> take(const authority_grant &grant);
+
+private:
+    std::uint64_t m_nextNonce;
+    duration m_interval;
+    std::optional<instant> m_lastSent;
+    std::map<std::uint64_t, sent_request> m_sent; ///< by nonce
+};
+
+} // namespace plantainpitch
