--- a/src/include/plantainpitch/runtime/http_server.h
+++ b/src/include/plantainpitch/runtime/http_server.h
@@ -22,6 +22,10 @@
     ~http_server();
 
     void start();
+    /// Further responses carry "Connection: close", while new connections are still accepted.
+    /// Called some time before stopAccepting(), it lets clients leave their kept connections
+    /// without a request lost. Thread-safe.
+    void closeAfterResponses();
     /// Closes the listener and idle connections; requests in flight get their responses, with
     /// "Connection: close". Thread-safe.
     void stopAccepting();
--- /dev/null
+++ b/src/libruntime/http_connection.cpp
@@ -0,0 +1,362 @@
+#include "http_connection.h"
+
+#include "plantainpitch/runtime/http_error.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace plantainpitch::runtime::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readBytes = 16 * 1024;
+/// Time in which the client may read the last response before the socket is closed. Closing at
+/// once with unread bytes would reset the connection and could destroy the response.
+constexpr std::chrono::milliseconds closingTime{ 1'000 };
+/// Time that a connection without any request keeps after the server stopped accepting: the client
+/// has just connected, and its first request is on the way.
+constexpr std::chrono::milliseconds firstRequestTime{ 500 };
+
+/// Numbers of requests; unique in the process over all servers.
+std::atomic<std::uint64_t> nextRequestNumber{ 1 };
+
+/// Headers that belong to the connection and are set by the server itself.
+bool isConnectionHeader(const std::string &name)
+{
+    static const std::array<const char *, 6> names{ "Connection",   "Content-Length",
+                                                    "Keep-Alive",   "Transfer-Encoding",
+                                                    "Content-Type", "Upgrade" };
+    return std::any_of(names.begin(), names.end(),
+                       [&name](const char *other) { return beast::iequals(name, other); });
+}
+
+bool hasLineBreak(const std::string &text)
+{
+    return text.find_first_of(std::string("\r\n\0", 3)) != std::string::npos;
+}
+
+http::response<http::string_body> toBeast(http_response response, bool keep, bool head)
+{
+    http::response<http::string_body> result;
+    result.version(11);
+    result.result(response.status >= 200 && response.status <= 999 ? response.status : 502);
+    if (result.result_int() == 204 || result.result_int() == 304)
+        response.body.clear();
+    if (!response.contentType.empty() && !hasLineBreak(response.contentType))
+        result.set(http::field::content_type, response.contentType);
+    for (const auto &[name, value] : response.headers) {
+        if (!isConnectionHeader(name) && !hasLineBreak(name) && !hasLineBreak(value))
+            result.insert(name, value);
+    }
+    result.keep_alive(keep);
+    if (head) {
+        result.content_length(response.body.size());
+    } else {
+        result.body() = std::move(response.body);
+        result.prepare_payload();
+    }
+    return result;
+}
+
+} // namespace
+
+http_connection::http_connection(asio::ip::tcp::socket socket,
+                                 std::shared_ptr<http_server_shared> shared)
+    : m_socket(std::move(socket))
+    , m_deadline(m_socket.get_executor())
+    , m_shared(std::move(shared))
+{
+    error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void http_connection::start()
+{
+    asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] { self->nextRequest(); });
+}
+
+void http_connection::refuse()
+{
+    asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
+        self->fail(errorResponse(503, error_kind::not_ready, "too many connections",
+                                 "close unused connections or try again later"));
+    });
+}
+
+void http_connection::closeWhenIdle()
+{
+    asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_keepAlive = false;
+        error_code code;
+        if (self->m_phase != phase::idle || self->m_socket.available(code) > 0)
+            return;
+        if (self->m_requestNumber == 0)
+            self->setDeadline(firstRequestTime);
+        else
+            self->close();
+    });
+}
+
+void http_connection::abort()
+{
+    asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
+}
+
+void http_connection::nextRequest()
+{
+    if (m_phase == phase::closed)
+        return;
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_shared->options.maxHeaderBytes));
+    m_parser->body_limit(m_shared->options.maxBodyBytes);
+    m_continueSent = false;
+    m_phase = phase::idle;
+    if (m_buffer.size() > 0) {
+        feed();
+        return;
+    }
+    setDeadline(m_shared->options.idleTimeout);
+    readSome();
+}
+
+void http_connection::readSome()
+{
+    if (m_reading)
+        return;
+    m_reading = true;
+    m_socket.async_read_some(
+            m_buffer.prepare(readBytes),
+            [self = shared_from_this()](const error_code &code, std::size_t bytes) {
+                self->onRead(code, bytes);
+            });
+}
+
+void http_connection::onRead(const error_code &code, std::size_t bytes)
+{
+    m_reading = false;
+    if (m_phase == phase::closed)
+        return;
+    if (code) {
+        onReadError();
+        return;
+    }
+    if (m_phase == phase::closing) {
+        m_buffer.clear();
+        readSome();
+        return;
+    }
+    m_buffer.commit(bytes);
+    if (m_phase == phase::idle || m_phase == phase::reading)
+        feed();
+    else if (m_buffer.size() < readBytes)
+        readSome();
+}
+
+void http_connection::onReadError()
+{
+    const bool gone = m_phase == phase::handling;
+    const auto number = m_requestNumber;
+    close();
+    if (gone)
+        m_shared->handler.onClientGone(number);
+}
+
+void http_connection::feed()
+{
+    if (m_phase == phase::idle) {
+        m_phase = phase::reading;
+        setDeadline(m_shared->options.readTimeout);
+    }
+    error_code code;
+    while (!m_parser->is_done() && !code && m_buffer.size() > 0)
+        m_buffer.consume(m_parser->put(m_buffer.data(), code));
+    if (code && code != http::error::need_more)
+        onParseError(code);
+    else if (m_parser->is_done())
+        dispatchRequest();
+    else if (m_parser->is_header_done() && !m_continueSent
+             && beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+        sendContinue();
+    else
+        readSome();
+}
+
+void http_connection::sendContinue()
+{
+    static constexpr std::string_view line = "HTTP/1.1 100 Continue\r\n\r\n";
+    m_continueSent = true;
+    asio::async_write(m_socket, asio::buffer(line),
+                      [self = shared_from_this()](const error_code &code, std::size_t) {
+                          if (code)
+                              self->close();
+                          else if (self->m_phase == phase::reading)
+                              self->readSome();
+                      });
+}
+
+void http_connection::onParseError(const error_code &code)
+{
+    const auto &options = m_shared->options;
+    if (code == http::error::header_limit) {
+        fail(errorResponse(431, error_kind::too_large,
+                           "the header is larger than " + std::to_string(options.maxHeaderBytes)
+                                   + " bytes",
+                           "send fewer or shorter header fields"));
+    } else if (code == http::error::body_limit) {
+        fail(errorResponse(413, error_kind::too_large,
+                           "the body is larger than " + std::to_string(options.maxBodyBytes)
+                                   + " bytes",
+                           "send a smaller body"));
+    } else {
+        fail(errorResponse(400, error_kind::protocol_error,
+                           "the request is not valid HTTP/1.1: " + code.message(),
+                           "send a well-formed HTTP/1.1 request"));
+    }
+}
+
+void http_connection::dispatchRequest()
+{
+    m_phase = phase::handling;
+    m_deadline.cancel();
+    auto message = m_parser->release();
+    m_keepAlive = m_keepAlive && message.keep_alive();
+    m_headRequest = message.method() == http::verb::head;
+    m_requestNumber = nextRequestNumber++;
+    m_requestOpen = true;
+    ++m_shared->openRequests;
+
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message)
+        request.headers.emplace_back(field.name_string(), field.value());
+    request.body = std::move(message.body());
+
+    readSome();
+    const auto respond = [weak = weak_from_this(), number = m_requestNumber](http_response answer) {
+        if (auto self = weak.lock())
+            self->respond(number, std::move(answer));
+    };
+    try {
+        m_shared->handler.onRequest(m_requestNumber, std::move(request), respond);
+    } catch (const std::exception &e) {
+        respond(errorResponse(500, error_kind::internal_error,
+                              std::string("the request failed: ") + e.what(),
+                              "report this with the server's log"));
+    }
+}
+
+void http_connection::respond(std::uint64_t number, http_response response)
+{
+    asio::dispatch(m_socket.get_executor(),
+                   [self = shared_from_this(), number, answer = std::move(response)]() mutable {
+                       if (self->m_phase == phase::handling && self->m_requestNumber == number)
+                           self->write(std::move(answer));
+                   });
+}
+
+void http_connection::write(http_response response)
+{
+    if (m_phase != phase::closing)
+        m_phase = phase::writing;
+    setDeadline(m_shared->options.idleTimeout);
+    const bool keep = m_keepAlive && !m_shared->closeAfterResponse;
+    auto message = std::make_shared<http::response<http::string_body>>(
+            toBeast(std::move(response), keep, m_headRequest));
+    const auto done = [self = shared_from_this(), message,
+                       keep](const error_code &code, std::size_t) { self->onWritten(code, keep); };
+    if (m_headRequest) {
+        auto serializer = std::make_shared<http::response_serializer<http::string_body>>(*message);
+        http::async_write_header(m_socket, *serializer,
+                                 [serializer, done](const error_code &code, std::size_t bytes) {
+                                     done(code, bytes);
+                                 });
+    } else {
+        http::async_write(m_socket, *message, done);
+    }
+}
+
+void http_connection::onWritten(const error_code &code, bool keep)
+{
+    if (m_requestOpen) {
+        m_requestOpen = false;
+        --m_shared->openRequests;
+    }
+    if (m_phase == phase::closed)
+        return;
+    if (code)
+        close();
+    else if (keep)
+        nextRequest();
+    else
+        finishClosing();
+}
+
+void http_connection::fail(http_response response)
+{
+    if (m_phase == phase::closed || m_phase == phase::closing)
+        return;
+    m_phase = phase::closing;
+    m_keepAlive = false;
+    m_headRequest = false;
+    write(std::move(response));
+}
+
+void http_connection::finishClosing()
+{
+    m_phase = phase::closing;
+    error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_buffer.clear();
+    setDeadline(closingTime);
+    readSome();
+}
+
+void http_connection::setDeadline(std::chrono::milliseconds timeout)
+{
+    m_deadline.expires_after(timeout);
+    m_deadline.async_wait([weak = weak_from_this()](const error_code &code) {
+        if (auto self = weak.lock(); self && !code)
+            self->onDeadline();
+    });
+}
+
+void http_connection::onDeadline()
+{
+    if (m_deadline.expiry() > asio::steady_timer::clock_type::now())
+        return;
+    if (m_phase == phase::reading)
+        fail(errorResponse(408, error_kind::timeout, "the request did not arrive in time",
+                           "send the whole request without pauses"));
+    else if (m_phase != phase::handling)
+        close();
+}
+
+void http_connection::close()
+{
+    if (m_phase == phase::closed)
+        return;
+    m_phase = phase::closed;
+    if (m_requestOpen) {
+        m_requestOpen = false;
+        --m_shared->openRequests;
+    }
+    error_code ignored;
+    m_deadline.cancel();
+    m_socket.close(ignored);
+    const std::lock_guard lock(m_shared->mutex);
+    m_shared->connections.erase(shared_from_this());
+}
+
+} // namespace plantainpitch::runtime::detail
--- /dev/null
+++ b/src/libruntime/http_connection.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "http_server_shared.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace plantainpitch::runtime::detail {
+
+/// One connection of an http_server. All members run on the socket's strand, except respond() and
+/// the functions that say so.
+///
+/// A read is nearly always pending, so that a client that closes while its request is handled is
+/// noticed; bytes of further requests that arrive early wait in the buffer.
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+    http_connection(boost::asio::ip::tcp::socket socket,
+                    std::shared_ptr<http_server_shared> shared);
+
+    /// Any thread.
+    void start();
+    /// Answers 503 and closes. Any thread.
+    void refuse();
+    /// Closes the connection once no request is being read or answered. Any thread.
+    void closeWhenIdle();
+    /// Closes the connection at once. Any thread.
+    void abort();
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    enum class phase { idle, reading, handling, writing, closing, closed };
+
+    void nextRequest();
+    void readSome();
+    void onRead(const boost::system::error_code &code, std::size_t bytes);
+    void onReadError();
+    void feed();
+    void sendContinue();
+    void onParseError(const boost::system::error_code &code);
+    void dispatchRequest();
+    void respond(std::uint64_t number, http_response response);
+    void write(http_response response);
+    void onWritten(const boost::system::error_code &code, bool keep);
+    void fail(http_response response);
+    void finishClosing();
+    void setDeadline(std::chrono::milliseconds timeout);
+    void onDeadline();
+    void close();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_deadline;
+    std::shared_ptr<http_server_shared> m_shared;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<parser> m_parser;
+    phase m_phase = phase::idle;
+    std::uint64_t m_requestNumber = 0;
+    bool m_reading = false; ///< a read is pending
+    bool m_continueSent = false;
+    bool m_requestOpen = false; ///< counted in openRequests
+    bool m_keepAlive = true;
+    bool m_headRequest = false;
+};
+
+} // namespace plantainpitch::runtime::detail
