--- a/src/librole/stream_follower.h
+++ b/src/librole/stream_follower.h
@@ -99,9 +99,9 @@
     {
         if (m_state.nextOffset() == 0)
             return;
-        const std::string data = m_state.saveSnapshot();
-        for (snapshot_part &part : snapshot_writer::split(data, m_state.nextOffset() - 1))
-            m_pipeline.submit(now, std::move(part));
+        snapshot_writer writer(m_state.nextOffset() - 1, m_state.saveSnapshot());
+        while (!writer.done())
+            m_pipeline.submit(now, writer.next());
         m_recordsSinceSnapshot = 0;
     }
 
@@ -164,7 +164,7 @@
                 m_snapshots.add(*part);
         }
         m_collected.push_back(std::move(batch));
-        const auto snapshot = m_snapshots.complete();
+        const snapshot *snapshot = m_snapshots.newest();
         if (!snapshot || snapshot->through + 1 < m_collected.front().stored.offset
             || snapshot->through + 1 < m_state.nextOffset())
             return false;
