--- a/src/include/plantainpitch/role/task_dispatcher.h
+++ b/src/include/plantainpitch/role/task_dispatcher.h
@@ -2,12 +2,15 @@
 
 #include "plantainpitch/log/cell_state.h"
 #include "plantainpitch/model/instant.h"
+#include "plantainpitch/policy/batch_order.h"
+#include "plantainpitch/policy/placement_policy.h"
 #include "plantainpitch/role/action.h"
 #include "plantainpitch/role/message/proposal_refused.h"
 #include "plantainpitch/role/record_outcome.h"
 #include "plantainpitch/role/vm_info.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,6 +36,12 @@
     task_dispatcher(task_dispatcher_options options, std::uint64_t seed);
     ~task_dispatcher();
 
+    /// Replaces the baselines; neither may be null.
+    void setPolicies(std::unique_ptr<batch_order> order,
+                     std::unique_ptr<placement_policy> placement);
+    /// Most tasks of each team at once; teams that are not named have no quota.
+    void setTeamQuotas(const std::map<std::string, std::uint32_t> &quotas);
+
     /// Names of the live entries of the cell, this one included.
     void onEntries(std::vector<std::string> names);
     void onVm(instant now, const vm_info &vm);
--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -247,7 +247,8 @@
 
 void held_task_machine::onNewBoot(instant now)
 {
-    const bool startOutstanding = m_callId != 0 && m_callOperation == worker_operation::start;
+    const bool startOutstanding = m_lateStartUntilUs != 0
+                                  || (m_callId != 0 && m_callOperation == worker_operation::start);
     m_callId = 0;
     m_nextCallAt = now;
     m_lateStartUntilUs = 0;
