Route log answers to the pipeline of their stream

Cause: both pipelines of an entry number their calls from 1, and each took the answers of the other; a replaced entry stopped reading.

--- a/src/librole/entry_control.cpp
+++ b/src/librole/entry_control.cpp
@@ -44,19 +44,34 @@
         onOriginRequest(*request);
     else if (const auto *admin = std::get_if<admin_request>(&event))
         m_admin.onRequest(now, *admin);
-    else if (const auto *appended = std::get_if<append_answer>(&event)) {
-        m_config.onAppendAnswer(now, *appended);
-        m_cell.onAppendAnswer(now, *appended);
-    } else if (const auto *read = std::get_if<read_answer>(&event)) {
-        m_config.onReadAnswer(now, *read);
-        m_cell.onReadAnswer(now, *read);
-    } else if (std::holds_alternative<stop_requested>(event))
+    else if (const auto *appended = std::get_if<append_answer>(&event))
+        onAppendAnswer(*appended);
+    else if (const auto *read = std::get_if<read_answer>(&event))
+        onReadAnswer(*read);
+    else if (std::holds_alternative<stop_requested>(event))
         onStop();
     else if (const auto *timer = std::get_if<timer_tick>(&event))
         tick(*timer);
     return finish();
 }
 
+void entry_control::onAppendAnswer(const append_answer &answer)
+{
+    // Call ids are unique within a stream only.
+    if (answer.stream == m_config.stream())
+        m_config.onAppendAnswer(m_now, answer);
+    else if (answer.stream == m_cell.stream())
+        m_cell.onAppendAnswer(m_now, answer);
+}
+
+void entry_control::onReadAnswer(const read_answer &answer)
+{
+    if (answer.stream == m_config.stream())
+        m_config.onReadAnswer(m_now, answer);
+    else if (answer.stream == m_cell.stream())
+        m_cell.onReadAnswer(m_now, answer);
+}
+
 action_list entry_control::handleInbox(instant now)
 {
     m_now = now;
--- a/src/librole/entry_control.h
+++ b/src/librole/entry_control.h
@@ -58,6 +58,8 @@
     void onPeerPull(connection_id connection, const peer_pull &pull);
     void onPeerRecords(const peer_records &records);
     void onOriginRequest(const caller_request &request);
+    void onAppendAnswer(const append_answer &answer);
+    void onReadAnswer(const read_answer &answer);
     void onStop();
     void tick(const timer_tick &timer);
 
--- a/testsuite/matrix/world.cpp
+++ b/testsuite/matrix/world.cpp
@@ -350,6 +350,10 @@
 {
     request.callerId = m_nextId++;
     request.nowMs = queue.now().time_since_epoch().count() / 1000;
+    if (!entry.alive) {
+        done({ .callerId = request.callerId, .outcome = outcome_kind::unknown });
+        return;
+    }
     m_callers[request.callerId] = std::move(done);
     m_callerNodes[request.callerId] = { &entry, entry.incarnation };
     deliver(entry, entry.incarnation, request);
@@ -380,6 +384,21 @@
     target.alive = false;
     target.waiting.clear();
     closeAll(target, false);
+    breakCallers(target);
+}
+
+void world::breakCallers(const node &target)
+{
+    std::vector<std::uint64_t> broken;
+    for (const auto &[caller, where] : m_callerNodes) {
+        if (where.first == &target)
+            broken.push_back(caller);
+    }
+    for (const std::uint64_t caller : broken) {
+        m_callerNodes.erase(caller);
+        const auto item = m_callers.extract(caller);
+        item.mapped()({ .callerId = caller, .outcome = outcome_kind::unknown });
+    }
 }
 
 void world::killVm(node &target)
@@ -391,6 +410,7 @@
     target.alive = false;
     target.waiting.clear();
     closeAll(target, true);
+    breakCallers(target);
 }
 
 void world::restartVm(node &target)
--- a/testsuite/matrix/world.h
+++ b/testsuite/matrix/world.h
@@ -80,6 +80,8 @@
     void transmit(connection_id id, bool fromA, const message &content);
     void flushBlocked(connection_id id);
     void closeSide(connection_id id, bool sideA);
+    /// Callers of a process that died see a broken connection.
+    void breakCallers(const node &target);
     void closeAll(node &target, bool silently);
     template <typename Event>
     void deliver(node &target, std::uint64_t incarnation, Event event);
