--- a/src/libmodel/parameters_document.cpp
+++ b/src/libmodel/parameters_document.cpp
@@ -35,7 +35,7 @@
     work_parameters value;
     reader.version();
     value.account = reader.identifier("account");
-    value.templateName = reader.identifier("template_name");
+    value.templateName = reader.identifier("template");
     if (const boost::json::value *values = reader.find("values"))
         value.values = readValues(*values);
     // The largest job that the fold of the cell accepts.
@@ -54,7 +54,7 @@
     return boost::json::serialize(boost::json::object{
             { "version", 1 },
             { "account", value.account },
-            { "template_name", value.templateName },
+            { "template", value.templateName },
             { "values", std::move(values) },
             { "task_count", value.taskCount },
             { "deadline_ms", value.deadlineMs },
