Wait for a list of the new worker boot before a claim is released

Cause: a start that the new boot had answered counted as ended with the old boot, so the release came while the task ran, and another VM started it. The matrix now also allows a finished task to run again if its worker died before any list could report the result: nobody can know of it.

--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -252,19 +252,19 @@
     m_callId = 0;
     m_nextCallAt = now;
     m_lateStartUntilUs = 0;
-    m_viewCallId = m_context.worker.lastCallId();
     // Connections to the old boot are gone. Only a start that the shell has not sent yet can
     // reach the new one, until the call times out.
     m_quietAt = startOutstanding ? now + m_context.worker.callTimeout() : now;
     const bool resultKnown = m_view == view::ended
                              && (m_endedState == worker_task_state::finished
                                  || m_endedState == worker_task_state::failed);
+    // The new boot may have answered a start before its first list told of it, so only a later
+    // list proves that the task is absent.
     if (!resultKnown)
-        m_view = startOutstanding ? view::uncertain : view::absent;
-    m_mayBeListed = startOutstanding;
+        awaitList();
+    m_mayBeListed = true;
     if (m_phase == phase::held)
         end(release_reason::worker_rebooted);
-    step(now);
 }
 
 } // namespace plantainpitch
--- a/testsuite/matrix/fake_worker.cpp
+++ b/testsuite/matrix/fake_worker.cpp
@@ -56,10 +56,21 @@
             answer.result = worker_result::no_answer;
             answer.list.reset();
         }
+        if (answer.list)
+            markReported(answer.list->tasks);
         m_queue.after(delay, [answer, done] { done(answer); });
     });
 }
 
+void fake_worker::markReported(const std::vector<worker_task> &listed)
+{
+    for (const worker_task &item : listed) {
+        const auto it = m_tasks.find(item.task.toString());
+        if (it != m_tasks.end() && item.state != worker_task_state::running)
+            it->second.reported = true;
+    }
+}
+
 worker_answer fake_worker::perform(const worker_call &call)
 {
     worker_answer answer{ .callId = call.callId,
@@ -212,6 +223,8 @@
     for (auto &[name, task] : m_tasks) {
         if (task.view.state == worker_task_state::running)
             end(name, task, worker_task_state::stopped);
+        if (task.view.state == worker_task_state::finished && !task.reported)
+            m_watch.onFinishForgotten(name);
     }
     m_tasks.clear();
 }
--- a/testsuite/matrix/fake_worker.h
+++ b/testsuite/matrix/fake_worker.h
@@ -39,6 +39,7 @@
         std::int64_t progressMs = 0;
         std::int64_t totalMs = 0; ///< 0: endless
         std::int64_t lastUs = 0;
+        bool reported = false; ///< a list showed the present state
     };
 
     worker_answer perform(const worker_call &call);
@@ -49,6 +50,7 @@
     [[nodiscard]] std::int64_t clockUs() const;
     [[nodiscard]] worker_list list() const;
     void scheduleAdvance();
+    void markReported(const std::vector<worker_task> &listed);
 
     event_queue &m_queue;
     observer &m_watch;
--- a/testsuite/matrix/observer.cpp
+++ b/testsuite/matrix/observer.cpp
@@ -49,6 +49,11 @@
         violate(3, task + " finished twice");
 }
 
+void observer::onFinishForgotten(const std::string &task)
+{
+    --m_finished[task];
+}
+
 void observer::onVmUsage(const std::string &vm, const resources &used, const resources &capacity)
 {
     if (!used.fitsIn(capacity))
--- a/testsuite/matrix/observer.h
+++ b/testsuite/matrix/observer.h
@@ -24,6 +24,9 @@
     void onTaskEnded(const std::string &vm, const std::string &task);
     void onTaskCheckpointed(const std::string &task, log_position attempt, std::int64_t progressMs);
     void onTaskFinished(const std::string &task);
+    /// A worker died before anybody could learn that the task had finished there: the system has
+    /// to run it again from its checkpoint.
+    void onFinishForgotten(const std::string &task);
     void onVmUsage(const std::string &vm, const resources &used, const resources &capacity);
 
     // Services and callers. The number identifies a caller's intention; repetitions share it.
