Name the authority term of unlisted claims in a grant

Cause: an agent that replaced another waited for the longest term of any template, 60 s, before it gave back an inherited claim, also for a task that had already finished.

--- a/src/include/plantainpitch/role/message/authority_grant.h
+++ b/src/include/plantainpitch/role/message/authority_grant.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "plantainpitch/model/log_position.h"
-#include "plantainpitch/role/message/held_task.h"
+#include "plantainpitch/role/message/unlisted_claim.h"
 #include "plantainpitch/role/message/withdrawn_task.h"
 
 #include <cstdint>
@@ -16,7 +16,7 @@
     std::uint64_t nextOffset = 0; ///< the log was read up to here
     std::vector<withdrawn_task> withdrawn;
     /// Claims of this VM that the log knows and the request did not name.
-    std::vector<held_task> unlisted;
+    std::vector<unlisted_claim> unlisted;
 
     bool operator==(const authority_grant &) const = default;
 };
--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -6,7 +6,7 @@
 namespace plantainpitch {
 
 held_task_machine::held_task_machine(holder_context &context, const held_task &claim,
-                                     const std::optional<worker_task> &listed,
+                                     duration term, const std::optional<worker_task> &listed,
                                      std::int64_t workerClockUs, instant now)
     : m_context(context)
     , m_task(claim.task)
@@ -17,7 +17,10 @@
     , m_submittedAt(now)
     , m_authorityFrom(now)
 {
-    m_quietAt = now + inheritedCallsWait();
+    // A start that the earlier process sent may arrive as long as its lease could last.
+    m_quietAt = now
+                + revocationWait(term, context.options.clockDriftRatio,
+                                 context.options.revocationMargin);
     if (listed) {
         // The earlier process never granted more than the term, so what is left of its lease is a
         // safe lower bound of the term.
@@ -35,12 +38,6 @@
                                                         .workerBoot = m_claimBoot });
 }
 
-duration held_task_machine::inheritedCallsWait() const
-{
-    return revocationWait(m_context.options.longestTerm, m_context.options.clockDriftRatio,
-                          m_context.options.revocationMargin);
-}
-
 void held_task_machine::onSettled(instant now, const record_settled &settled)
 {
     switch (m_phase) {
--- a/src/librole/held_task_machine.cpp
+++ b/src/librole/held_task_machine.cpp
@@ -54,6 +54,11 @@
 
 bool held_task_machine::quiet(instant now) const
 {
+    // The worker starts an attempt that finished or failed no second time.
+    if (m_view == view::ended
+        && (m_endedState == worker_task_state::finished
+            || m_endedState == worker_task_state::failed))
+        return true;
     return (m_view == view::absent || m_view == view::ended) && m_lateStartUntilUs == 0
            && now >= m_quietAt;
 }
--- a/src/librole/held_task_machine.h
+++ b/src/librole/held_task_machine.h
@@ -53,7 +53,7 @@
 
     held_task_machine(holder_context &context, const task_proposal &proposal, instant now);
     /// Adopts a claim of an earlier agent process on this VM.
-    held_task_machine(holder_context &context, const held_task &claim,
+    held_task_machine(holder_context &context, const held_task &claim, duration term,
                       const std::optional<worker_task> &listed, std::int64_t workerClockUs,
                       instant now);
 
@@ -95,7 +95,6 @@
     void awaitList();
     void endByWithdrawal(instant now, withdrawal why);
     void onAbsent(instant sentAt);
-    [[nodiscard]] duration inheritedCallsWait() const;
     void followAuthority(instant now);
     void stepHeld(instant now);
     void stepRunning(instant now);
--- a/src/librole/task_holder_state.cpp
+++ b/src/librole/task_holder_state.cpp
@@ -29,12 +29,13 @@
 
 void task_holder::state::adoptUnlisted(instant now, const authority_grant &grant)
 {
-    for (const held_task &claim : grant.unlisted) {
+    for (const auto &[claim, termMs] : grant.unlisted) {
         if (machines.contains(claim.task))
             continue;
+        const duration term = termMs > 0 ? std::chrono::milliseconds(termMs) : options.longestTerm;
         const auto listed = strays.take(claim);
         const std::int64_t workerClockUs = worker.lease().leaseUntilUs(now);
-        machines.try_emplace(claim.task, context, claim, listed, workerClockUs, now);
+        machines.try_emplace(claim.task, context, claim, term, listed, workerClockUs, now);
         count("claims_inherited_total", listed ? "listed" : "not_listed");
     }
 }
--- a/src/libwire/message_reader.cpp
+++ b/src/libwire/message_reader.cpp
@@ -81,6 +81,11 @@
     return { .task = in.task(h.task()), .attempt = position(h.attempt()) };
 }
 
+unlisted_claim readUnlisted(field_reader &in, const UnlistedClaim &c)
+{
+    return { .claim = readHeld(in, *c.claim()), .authorityTermMs = c.authority_term_ms() };
+}
+
 service_request read(field_reader &in, const ServiceRequest &r)
 {
     service_request result{ .account = in.text(r.account()),
@@ -190,7 +195,7 @@
     return { .nonce = m.nonce(),
              .nextOffset = m.next_offset(),
              .withdrawn = list<withdrawn_task>(in, m.withdrawn(), readWithdrawn),
-             .unlisted = list<held_task>(in, m.unlisted(), readHeld) };
+             .unlisted = list<unlisted_claim>(in, m.unlisted(), readUnlisted) };
 }
 
 drain_request read(field_reader &in, const DrainRequest &m)
--- a/src/libwire/message_writer.cpp
+++ b/src/libwire/message_writer.cpp
@@ -64,6 +64,11 @@
     return CreateHeldTask(b, write(b, h.task), h.attempt.value);
 }
 
+offset<UnlistedClaim> writeUnlisted(builder &b, const unlisted_claim &c)
+{
+    return CreateUnlistedClaim(b, writeHeld(b, c.claim), c.authorityTermMs);
+}
+
 offset<ServiceRequest> write(builder &b, const service_request &r)
 {
     const auto account = text(b, r.account);
@@ -154,7 +159,7 @@
 offset<AuthorityGrant> write(builder &b, const authority_grant &m)
 {
     const auto withdrawn = list<WithdrawnTask>(b, m.withdrawn, writeWithdrawn);
-    const auto unlisted = list<HeldTask>(b, m.unlisted, writeHeld);
+    const auto unlisted = list<UnlistedClaim>(b, m.unlisted, writeUnlisted);
     return CreateAuthorityGrant(b, m.nonce, m.nextOffset, withdrawn, unlisted);
 }
 
