--- a/src/include/plantainpitch/log/log_pipeline_options.h
+++ b/src/include/plantainpitch/log/log_pipeline_options.h
@@ -16,7 +16,7 @@
     /// second for all processes together.
     duration batchDelay = std::chrono::milliseconds(100);
     std::size_t maxBatchRecords = 500;
-    std::size_t maxBatchBytes = 256 * 1024;
+    std::size_t maxBatchBytes = std::size_t(256) * 1024;
     duration pollInterval = std::chrono::milliseconds(200);
     duration callTimeout = std::chrono::seconds(2);
     duration minBackoff = std::chrono::milliseconds(50);
--- a/src/include/plantainpitch/log/snapshot_writer.h
+++ b/src/include/plantainpitch/log/snapshot_writer.h
@@ -12,7 +12,7 @@
 class snapshot_writer
 {
 public:
-    static constexpr std::size_t maxPartBytes = 64 * 1024;
+    static constexpr std::size_t maxPartBytes = std::size_t(64) * 1024;
 
     /// \a data is the state as given by saveSnapshot(), \a through the last offset in it.
     /// Throws error(too_large) for a state that needs more than snapshot_reader::maxParts parts.
--- a/src/include/plantainpitch/model/instant.h
+++ b/src/include/plantainpitch/model/instant.h
@@ -12,7 +12,8 @@
     using period = std::micro;
     using duration = std::chrono::microseconds;
     using time_point = std::chrono::time_point<process_clock, duration>;
-    static constexpr bool is_steady = true;
+    // The standard library prescribes this name for clocks.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 };
 
 /// Microseconds.
--- a/src/include/plantainpitch/model/log_position.h
+++ b/src/include/plantainpitch/model/log_position.h
@@ -25,7 +25,8 @@
     [[nodiscard]] constexpr std::uint64_t offset() const { return (value >> 16U) - 1; }
     [[nodiscard]] constexpr std::uint64_t index() const { return value & (maxBatchRecords - 1); }
 
-    auto operator<=>(const log_position &) const = default;
+    // clang-tidy 14 takes the comparison with 0 in the defaulted operator for a null pointer.
+    auto operator<=>(const log_position &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace plantainpitch
--- a/src/include/plantainpitch/model/request_id.h
+++ b/src/include/plantainpitch/model/request_id.h
@@ -14,7 +14,8 @@
     std::uint64_t entry = 0;
     std::uint64_t number = 0;
 
-    auto operator<=>(const request_id &) const = default;
+    // clang-tidy 14 takes the comparison with 0 in the defaulted operator for a null pointer.
+    auto operator<=>(const request_id &) const = default; // NOLINT(modernize-use-nullptr)
 
     [[nodiscard]] std::string toString() const
     {
--- a/src/include/plantainpitch/model/task_id.h
+++ b/src/include/plantainpitch/model/task_id.h
@@ -13,7 +13,8 @@
     std::string job;
     std::uint32_t index = 0;
 
-    auto operator<=>(const task_id &) const = default;
+    // clang-tidy 14 takes the comparison with 0 in the defaulted operator for a null pointer.
+    auto operator<=>(const task_id &) const = default; // NOLINT(modernize-use-nullptr)
 
     /// "job/index", the form used in logs, in the administration API and towards workers.
     [[nodiscard]] std::string toString() const { return job + '/' + std::to_string(index); }
--- a/src/libmodel/object_reader.cpp
+++ b/src/libmodel/object_reader.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// A change must fit into one append together with others (256 KB).
-constexpr std::size_t maxDocumentBytes = 64 * 1024;
+constexpr std::size_t maxDocumentBytes = std::size_t(64) * 1024;
 
 constexpr std::size_t maxIdentifierBytes = 128;
 
--- a/src/libmodel/template_document.cpp
+++ b/src/libmodel/template_document.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::int64_t dayMs = 24LL * 60 * 60 * 1000;
 
+constexpr std::size_t maxCommandBytes = std::size_t(16) * 1024;
+
 /// Far above any VM of the platform; keeps sums of many amounts within 64 bits.
 constexpr resources maxTaskResources{ .processorsMilli = 1'000'000,
                                       .memoryBytes = std::int64_t(1) << 46,
@@ -98,7 +100,7 @@
     value.authorityTermMs =
             reader.integer("authority_term_ms", value.authorityTermMs, 100, 600'000);
     value.maxAttempts = reader.count("max_attempts", value.maxAttempts, 1, 1000);
-    value.command = reader.text("command", value.command, 16 * 1024);
+    value.command = reader.text("command", value.command, maxCommandBytes);
 }
 
 boost::json::object toJson(const resources &amount)
