--- /dev/null
+++ b/src/liblog/fake_log.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "plantainpitch/log/log_pipeline.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace plantainpitch::test {
+
+/// One stream of the platform's log, in memory.
+struct fake_log
+{
+    std::vector<record_batch> blobs;
+    std::uint64_t earliest = 0;
+
+    std::uint64_t append(const record_batch &batch)
+    {
+        blobs.push_back(batch);
+        return blobs.size() - 1;
+    }
+
+    [[nodiscard]] read_answer read(const read_call &call) const
+    {
+        read_answer answer{ .callId = call.callId,
+                            .stream = call.stream,
+                            .ok = true,
+                            .earliest = earliest,
+                            .next = blobs.size(),
+                            .batches = {} };
+        for (std::uint64_t o = std::max(call.fromOffset, earliest);
+             o < blobs.size() && answer.batches.size() < call.maxBatches; ++o)
+            answer.batches.push_back({ .offset = o, .batch = blobs[o] });
+        return answer;
+    }
+};
+
+/// A pipeline with its log and a clock; calls are answered by hand or by serve().
+struct pipeline_fixture
+{
+    fake_log log;
+    log_pipeline pipeline{ { .stream = "cell.r", .producer = 1, .maxReadBatches = 4 }, 42 };
+    instant now{ std::chrono::seconds(1) };
+    std::vector<std::uint64_t> settled; ///< tickets
+    std::vector<std::uint64_t> barriers; ///< completed
+    std::vector<stored_batch> batches;
+
+    void advance(int ms)
+    {
+        now += std::chrono::milliseconds(ms);
+        pipeline.tick(now);
+    }
+
+    std::uint64_t submit(const std::string &job)
+    {
+        return pipeline.submit(now, job_cancelled{ .job = job }).value();
+    }
+
+    append_call takeAppend()
+    {
+        std::vector<append_call> calls = pipeline.takeAppends();
+        return calls.size() == 1 ? calls[0] : append_call{};
+    }
+
+    read_call takeRead()
+    {
+        std::vector<read_call> calls = pipeline.takeReads();
+        return calls.size() == 1 ? calls[0] : read_call{};
+    }
+
+    void answer(const append_call &call, std::uint64_t offset)
+    {
+        pipeline.onAppendAnswer(
+                now,
+                { .callId = call.callId, .stream = call.stream, .ok = true, .offset = offset });
+    }
+
+    void fail(const append_call &call)
+    {
+        pipeline.onAppendAnswer(now, { .callId = call.callId, .stream = call.stream });
+    }
+    void fail(const read_call &call)
+    {
+        pipeline.onReadAnswer(now, { .callId = call.callId, .stream = call.stream });
+    }
+
+    void answer(const read_call &call)
+    {
+        pipeline.onReadAnswer(now, log.read(call));
+        collect();
+    }
+
+    void collect()
+    {
+        for (const read_batch &batch : pipeline.takeBatches()) {
+            settled.insert(settled.end(), batch.tickets.begin(), batch.tickets.end());
+            batches.push_back(batch.stored);
+        }
+        for (const std::uint64_t id : pipeline.takeCompletedBarriers())
+            barriers.push_back(id);
+    }
+
+    /// Lets the log answer everything at once for a while.
+    void serve(int ms)
+    {
+        for (int passed = 0; passed < ms; passed += 10) {
+            advance(10);
+            for (int round = 0; round < 8; ++round) {
+                for (const append_call &call : pipeline.takeAppends())
+                    answer(call, log.append(call.batch));
+                for (const read_call &call : pipeline.takeReads())
+                    answer(call);
+            }
+        }
+    }
+
+    /// Lets time pass while calls stay unanswered; returns those made.
+    template <class calls>
+    calls unanswered(int ms, calls (log_pipeline::*take)())
+    {
+        calls made;
+        for (int passed = 0; passed < ms; passed += 10) {
+            advance(10);
+            for (auto &call : (pipeline.*take)())
+                made.push_back(call);
+        }
+        return made;
+    }
+};
+
+} // namespace plantainpitch::test
