--- a/src/include/plantainpitch/log/cell_state.h
+++ b/src/include/plantainpitch/log/cell_state.h
@@ -20,6 +20,13 @@
 class cell_state
 {
 public:
+    cell_state() = default;
+    ~cell_state() = default;
+    cell_state(const cell_state &other);
+    cell_state(cell_state &&other) noexcept = default;
+    cell_state &operator=(const cell_state &other);
+    cell_state &operator=(cell_state &&other) noexcept = default;
+
     /// Folds a batch; batches must come in offset order. Returns one result per record; empty for
     /// a batch that was already folded (same producer and sequence, or an old offset) or that is
     /// too late to be folded (see producer_window).
@@ -67,14 +74,24 @@
         task_state *task = nullptr;
     };
     found_task find(const task_id &id);
+    /// Names a task without a copy of its job's id. Jobs keep their address when the map grows or
+    /// the state is moved.
+    struct held_task
+    {
+        const job_state *job = nullptr;
+        std::uint32_t index = 0;
+
+        bool operator==(const held_task &) const = default;
+    };
+
     void setPhase(const task_id &id, found_task found, task_phase phase, log_position at);
-    void addHeld(const std::string &vm, const task_id &id);
-    void removeHeld(const std::string &vm, const task_id &id);
+    void addHeld(const std::string &vm, held_task task);
+    void removeHeld(const std::string &vm, held_task task);
     void rebuildIndexes();
 
     std::unordered_map<std::string, job_state> m_jobs;
     key_table m_keys;
-    std::unordered_map<std::string, std::vector<task_id>> m_heldByVm;
+    std::unordered_map<std::string, std::vector<held_task>> m_heldByVm;
     std::set<task_id> m_unplaced;
     producer_window m_producers;
     std::uint64_t m_producer = 0; ///< of the batch that is being folded
--- a/src/liblog/cell_state.cpp
+++ b/src/liblog/cell_state.cpp
@@ -7,6 +7,22 @@
 
 namespace plantainpitch {
 
+cell_state::cell_state(const cell_state &other)
+    : m_jobs(other.m_jobs)
+    , m_keys(other.m_keys)
+    , m_producers(other.m_producers)
+    , m_nextOffset(other.m_nextOffset)
+{
+    rebuildIndexes();
+}
+
+cell_state &cell_state::operator=(const cell_state &other)
+{
+    if (this != &other)
+        *this = cell_state(other);
+    return *this;
+}
+
 std::vector<fold_result> cell_state::apply(const stored_batch &stored)
 {
     if (stored.offset < m_nextOffset)
@@ -49,7 +65,10 @@
     const auto it = m_heldByVm.find(vm);
     if (it == m_heldByVm.end())
         return {};
-    std::vector<task_id> tasks = it->second;
+    std::vector<task_id> tasks;
+    tasks.reserve(it->second.size());
+    for (const held_task &held : it->second)
+        tasks.push_back({ .job = held.job->description.job, .index = held.index });
     std::sort(tasks.begin(), tasks.end());
     return tasks;
 }
@@ -62,22 +81,20 @@
     return { .job = &it->second, .task = &it->second.tasks[id.index] };
 }
 
-void cell_state::addHeld(const std::string &vm, const task_id &id)
+void cell_state::addHeld(const std::string &vm, held_task task)
 {
-    m_heldByVm[vm].push_back(id);
+    m_heldByVm[vm].push_back(task);
 }
 
-void cell_state::removeHeld(const std::string &vm, const task_id &id)
+void cell_state::removeHeld(const std::string &vm, held_task task)
 {
     const auto it = m_heldByVm.find(vm);
     if (it == m_heldByVm.end())
         return;
-    std::vector<task_id> &tasks = it->second;
-    const auto task = std::find_if(tasks.begin(), tasks.end(), [&id](const task_id &held) {
-        return held.index == id.index && held.job == id.job;
-    });
-    if (task != tasks.end()) {
-        std::swap(*task, tasks.back());
+    std::vector<held_task> &tasks = it->second;
+    const auto held = std::find(tasks.begin(), tasks.end(), task);
+    if (held != tasks.end()) {
+        *held = tasks.back();
         tasks.pop_back();
     }
     if (tasks.empty())
--- a/src/liblog/cell_state_snapshot.cpp
+++ b/src/liblog/cell_state_snapshot.cpp
@@ -119,7 +119,7 @@
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
             const task_id id{ .job = entry->first, .index = i };
             if (isHeld(tasks[i].phase))
-                addHeld(tasks[i].vm, id);
+                addHeld(tasks[i].vm, { .job = &entry->second, .index = i });
             if (isUnplaced(tasks[i].phase))
                 m_unplaced.insert(m_unplaced.end(), id);
         }
--- a/src/liblog/cell_state_tasks.cpp
+++ b/src/liblog/cell_state_tasks.cpp
@@ -40,10 +40,11 @@
 void cell_state::setPhase(const task_id &id, found_task found, task_phase phase, log_position at)
 {
     task_state &task = *found.task;
+    const held_task held{ .job = found.job, .index = id.index };
     if (isHeld(task.phase) && !isHeld(phase))
-        removeHeld(task.vm, id);
+        removeHeld(task.vm, held);
     else if (!isHeld(task.phase) && isHeld(phase))
-        addHeld(task.vm, id);
+        addHeld(task.vm, held);
     if (isUnplaced(task.phase) && !isUnplaced(phase))
         m_unplaced.erase(id);
     else if (!isUnplaced(task.phase) && isUnplaced(phase))
@@ -103,11 +104,12 @@
         return refusedAt(at, "task is not pending or revoking", task.lastChange);
     if (task.lastChange != record.base)
         return refusedAt(at, "base is not the last change", task.lastChange);
-    if (isHeld(task.phase)) // the holder before did not release the task
-        removeHeld(task.vm, record.task);
+    if (isHeld(task.phase)) { // the holder before did not release the task
+        const held_task held{ .job = found.job, .index = record.task.index };
+        removeHeld(task.vm, held);
+        addHeld(record.vm, held);
+    }
     task.vm = record.vm;
-    if (isHeld(task.phase))
-        addHeld(task.vm, record.task);
     setPhase(record.task, found, task_phase::claimed, at);
     task.attempt = at;
     task.claimBase = record.base;
