--- /dev/null
+++ b/src/include/plantainpitch/policy/percentile_hedging.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "plantainpitch/policy/hedge_policy.h"
+#include "plantainpitch/policy/token_bucket.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace plantainpitch {
+
+struct percentile_hedging_options
+{
+    double percentile = 0.95;
+    double budgetRatio = 0.05; ///< hedges per request
+    std::size_t window = 512; ///< latest latencies that the percentile is taken from
+    std::size_t minSamples = 50; ///< no hedging before
+    std::size_t recomputeEvery = 32; ///< samples
+};
+
+/// Hedges after the service's 95th percentile, within a budget.
+class percentile_hedging final : public hedge_policy
+{
+public:
+    explicit percentile_hedging(percentile_hedging_options options = {});
+
+    void onRequest() override;
+    void onLatency(duration value) override;
+    [[nodiscard]] std::optional<duration> delay() const override { return m_delay; }
+    bool tryTake() override;
+
+private:
+    percentile_hedging_options m_options;
+    token_bucket m_budget;
+    std::vector<duration> m_latencies; ///< ring
+    std::size_t m_next = 0;
+    std::size_t m_sinceRecomputed = 0;
+    std::optional<duration> m_delay;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/policy/two_choice_options.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "plantainpitch/model/instant.h"
+
+#include <cstdint>
+
+namespace plantainpitch {
+
+struct two_choice_options
+{
+    double averageWeight = 0.1; ///< of a new latency sample in the average
+    /// An endpoint is slow if its average is above this multiple of the median of all endpoints.
+    double slowFactor = 3;
+    /// Samples are cut off at this multiple of the median, so that one outlier ejects nobody.
+    double outlierFactor = 10;
+    std::uint32_t minSamples = 8; ///< before an endpoint can be called slow
+    std::uint32_t failuresInARow = 5; ///< after which an endpoint is ejected
+    double maxEjectedShare = 0.3;
+    duration firstEjection = std::chrono::seconds(1);
+    duration longestEjection = std::chrono::seconds(30); ///< it doubles after each failed probe
+    std::uint32_t goodProbes = 3; ///< in a row that bring an endpoint back
+    duration refreshInterval = std::chrono::milliseconds(100); ///< of the median and the ejections
+    /// Age at which the share of other entries in a reported load counts half; reports come every
+    /// 500 ms.
+    duration reportHalfLife = std::chrono::milliseconds(500);
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/policy/two_choice_routing.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "plantainpitch/policy/routing_policy.h"
+#include "plantainpitch/policy/two_choice_options.h"
+
+#include <random>
+#include <vector>
+
+namespace plantainpitch {
+
+/// Chooses the better of two random endpoints by (in-flight + 1) x latency average.
+///
+/// Endpoints of the local data centre come first; a request spills over if both local candidates
+/// have no free slot and a remote one costs less. Slow and failing endpoints are ejected, at most
+/// maxEjectedShare of them, and brought back by probes: single requests after the ejection time.
+class two_choice_routing final : public routing_policy
+{
+public:
+    explicit two_choice_routing(std::uint64_t seed, two_choice_options options = {})
+        : m_options(options)
+        , m_random(seed)
+    {}
+
+    void onReport(instant now, endpoint_number endpoint, const endpoint_report &report) override;
+    void onRemoved(endpoint_number endpoint) override;
+    void onDispatched(instant now, endpoint_number endpoint) override;
+    void onEnded(instant now, endpoint_number endpoint, dispatch_end end,
+                 duration latency) override;
+    std::optional<endpoint_number> choose(instant now,
+                                          std::span<const endpoint_number> excluded) override;
+    [[nodiscard]] std::string explain(endpoint_number endpoint) const override;
+
+private:
+    enum class health { good, ejected, probing };
+
+    struct known_endpoint
+    {
+        bool present = false;
+        endpoint_report report;
+        instant reportedAt;
+        std::uint32_t inFlight = 0; ///< from this entry, exact
+        std::uint32_t inFlightAtReport = 0;
+        double averageUs = 0;
+        std::uint32_t samples = 0;
+        std::uint32_t failures = 0; ///< in a row
+        health state = health::good;
+        instant ejectedUntil;
+        duration ejection{}; ///< length of the current or last one
+        std::uint32_t probesPassed = 0;
+    };
+    using endpoint_list = std::vector<endpoint_number>;
+
+    [[nodiscard]] double load(instant now, const known_endpoint &endpoint) const;
+    [[nodiscard]] double cost(instant now, endpoint_number endpoint) const;
+    std::optional<endpoint_number> pickOf(instant now, const endpoint_list &list,
+                                          std::span<const endpoint_number> excluded);
+    std::optional<endpoint_number> draw(const endpoint_list &list,
+                                        std::span<const endpoint_number> excluded);
+    std::optional<endpoint_number> takeProbe(instant now,
+                                             std::span<const endpoint_number> excluded);
+    [[nodiscard]] std::optional<endpoint_number>
+    lastResort(instant now, std::span<const endpoint_number> excluded) const;
+
+    void addSample(known_endpoint &endpoint, duration latency);
+    void judgeProbe(instant now, known_endpoint &endpoint, dispatch_end end, duration latency);
+    void eject(instant now, known_endpoint &endpoint);
+    void refresh(instant now);
+    void ejectSlow(instant now);
+    [[nodiscard]] std::size_t mayEject() const;
+    void rebuildLists();
+
+    two_choice_options m_options;
+    std::mt19937_64 m_random;
+    std::vector<known_endpoint> m_endpoints;
+    endpoint_list m_local; ///< neither draining nor ejected
+    endpoint_list m_remote;
+    endpoint_list m_ejected; ///< ejected or probing
+    double m_medianUs = 0; ///< of the averages of all endpoints
+    instant m_refreshedAt;
+    bool m_refreshed = false;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/libpolicy/two_choice_ejection.cpp
@@ -0,0 +1,156 @@
+#include "plantainpitch/policy/two_choice_routing.h"
+
+#include <algorithm>
+
+namespace plantainpitch {
+
+void two_choice_routing::onEnded(instant now, endpoint_number endpoint, dispatch_end end,
+                                 duration latency)
+{
+    if (endpoint >= m_endpoints.size() || !m_endpoints[endpoint].present)
+        return;
+    auto &known = m_endpoints[endpoint];
+    if (known.inFlight > 0)
+        --known.inFlight;
+    // An abandoned request took at least this long: it counts only as evidence of slowness.
+    const bool isSample = end == dispatch_end::answered
+                          || (end == dispatch_end::abandoned
+                              && static_cast<double>(latency.count()) > known.averageUs);
+    if (isSample)
+        addSample(known, latency);
+    if (end == dispatch_end::answered)
+        known.failures = 0;
+    else if (end == dispatch_end::failed)
+        ++known.failures;
+    if (known.state != health::good)
+        judgeProbe(now, known, end, latency);
+    else if (known.failures >= m_options.failuresInARow && m_ejected.size() < mayEject())
+        eject(now, known);
+    refresh(now);
+}
+
+void two_choice_routing::addSample(known_endpoint &endpoint, duration latency)
+{
+    double sampleUs = static_cast<double>(std::max<duration::rep>(latency.count(), 1));
+    if (m_medianUs > 0)
+        sampleUs = std::min(sampleUs, m_medianUs * m_options.outlierFactor);
+    endpoint.averageUs =
+            endpoint.samples == 0
+                    ? sampleUs
+                    : endpoint.averageUs
+                              + m_options.averageWeight * (sampleUs - endpoint.averageUs);
+    ++endpoint.samples;
+}
+
+void two_choice_routing::judgeProbe(instant now, known_endpoint &endpoint, dispatch_end end,
+                                    duration latency)
+{
+    // Answers to requests from before the ejection are no probes.
+    if (endpoint.state != health::probing || end == dispatch_end::refused)
+        return;
+    const auto latencyUs = static_cast<double>(latency.count());
+    const bool passed = end == dispatch_end::answered
+                        && (m_medianUs <= 0 || latencyUs <= m_medianUs * m_options.slowFactor);
+    if (!passed) {
+        endpoint.ejection = std::min(endpoint.ejection * 2, m_options.longestEjection);
+        endpoint.ejectedUntil = now + endpoint.ejection;
+        endpoint.state = health::ejected;
+        endpoint.probesPassed = 0;
+        return;
+    }
+    endpoint.ejectedUntil = now;
+    if (++endpoint.probesPassed < m_options.goodProbes)
+        return;
+    endpoint.state = health::good;
+    endpoint.averageUs = m_medianUs; // the old average describes the time before the ejection
+    endpoint.samples = 1;
+    rebuildLists();
+}
+
+void two_choice_routing::eject(instant now, known_endpoint &endpoint)
+{
+    endpoint.state = health::ejected;
+    // An endpoint that is ejected again soon after it came back keeps its longer ejection.
+    const bool again = endpoint.ejection > duration::zero()
+                       && now - endpoint.ejectedUntil < m_options.longestEjection;
+    endpoint.ejection = again ? std::min(endpoint.ejection * 2, m_options.longestEjection)
+                              : m_options.firstEjection;
+    endpoint.ejectedUntil = now + endpoint.ejection;
+    endpoint.probesPassed = 0;
+    endpoint.failures = 0;
+    rebuildLists();
+}
+
+void two_choice_routing::refresh(instant now)
+{
+    if (m_refreshed && now - m_refreshedAt < m_options.refreshInterval)
+        return;
+    m_refreshed = true;
+    m_refreshedAt = now;
+    std::vector<double> averages;
+    averages.reserve(m_endpoints.size());
+    for (const auto &endpoint : m_endpoints) {
+        if (endpoint.present && endpoint.samples > 0)
+            averages.push_back(endpoint.averageUs);
+    }
+    if (averages.empty())
+        return;
+    const auto middle = averages.begin() + static_cast<std::ptrdiff_t>(averages.size() / 2);
+    std::nth_element(averages.begin(), middle, averages.end());
+    m_medianUs = *middle;
+    ejectSlow(now);
+}
+
+void two_choice_routing::ejectSlow(instant now)
+{
+    while (m_ejected.size() < mayEject()) {
+        known_endpoint *slowest = nullptr;
+        for (auto &endpoint : m_endpoints) {
+            if (endpoint.present && endpoint.state == health::good
+                && endpoint.samples >= m_options.minSamples
+                && endpoint.averageUs > m_medianUs * m_options.slowFactor
+                && (!slowest || endpoint.averageUs > slowest->averageUs))
+                slowest = &endpoint;
+        }
+        if (!slowest)
+            return;
+        eject(now, *slowest);
+    }
+}
+
+std::size_t two_choice_routing::mayEject() const
+{
+    const auto present = m_local.size() + m_remote.size() + m_ejected.size();
+    return static_cast<std::size_t>(static_cast<double>(present) * m_options.maxEjectedShare);
+}
+
+void two_choice_routing::rebuildLists()
+{
+    m_local.clear();
+    m_remote.clear();
+    m_ejected.clear();
+    for (endpoint_number i = 0; i < m_endpoints.size(); ++i) {
+        const auto &endpoint = m_endpoints[i];
+        if (!endpoint.present || endpoint.report.draining)
+            continue;
+        if (endpoint.state != health::good)
+            m_ejected.push_back(i);
+        else if (endpoint.report.local)
+            m_local.push_back(i);
+        else
+            m_remote.push_back(i);
+    }
+    // Endpoints that leave can raise the share of the ejected: the first ejected come back.
+    while (m_ejected.size() > mayEject()) {
+        const auto first = std::min_element(
+                m_ejected.begin(), m_ejected.end(), [this](endpoint_number a, endpoint_number b) {
+                    return m_endpoints[a].ejectedUntil < m_endpoints[b].ejectedUntil;
+                });
+        auto &back = m_endpoints[*first];
+        back.state = health::good;
+        (back.report.local ? m_local : m_remote).push_back(*first);
+        m_ejected.erase(first);
+    }
+}
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/libpolicy/two_choice_routing.cpp
@@ -0,0 +1,160 @@
+#include "plantainpitch/policy/two_choice_routing.h"
+
+#include <algorithm>
+
+namespace plantainpitch {
+
+namespace {
+
+/// Used as the latency of every endpoint until the first sample, so that only load counts.
+constexpr double unknownLatencyUs = 1000;
+constexpr int drawsBeforeScan = 4;
+
+bool contains(std::span<const endpoint_number> list, endpoint_number endpoint)
+{
+    return std::find(list.begin(), list.end(), endpoint) != list.end();
+}
+
+} // namespace
+
+void two_choice_routing::onReport(instant now, endpoint_number endpoint,
+                                  const endpoint_report &report)
+{
+    if (endpoint >= m_endpoints.size())
+        m_endpoints.resize(endpoint + 1);
+    auto &known = m_endpoints[endpoint];
+    const bool listsChange = !known.present || known.report.local != report.local
+                             || known.report.draining != report.draining;
+    known.present = true;
+    known.report = report;
+    known.reportedAt = now;
+    known.inFlightAtReport = known.inFlight;
+    if (listsChange)
+        rebuildLists();
+}
+
+void two_choice_routing::onRemoved(endpoint_number endpoint)
+{
+    if (endpoint >= m_endpoints.size())
+        return;
+    m_endpoints[endpoint] = {};
+    rebuildLists();
+}
+
+void two_choice_routing::onDispatched(instant /*now*/, endpoint_number endpoint)
+{
+    if (endpoint < m_endpoints.size())
+        ++m_endpoints[endpoint].inFlight;
+}
+
+double two_choice_routing::load(instant now, const known_endpoint &endpoint) const
+{
+    // The report counts all entries. What was ours then is taken off, since ours is known exactly
+    // now; a report older than our dispatches can be lower than our own count.
+    const double reported = endpoint.report.running + endpoint.report.queued;
+    const double others = std::max(0.0, reported - endpoint.inFlightAtReport);
+    const auto age = (now - endpoint.reportedAt) / m_options.reportHalfLife;
+    const double weight = age >= 8 ? 0.0 : 1.0 / static_cast<double>(1U << std::max<int>(0, age));
+    return endpoint.inFlight + others * weight;
+}
+
+double two_choice_routing::cost(instant now, endpoint_number endpoint) const
+{
+    const auto &known = m_endpoints[endpoint];
+    // An endpoint without samples is taken for an average one: neither flooded nor left out.
+    const double average = known.samples > 0 ? known.averageUs
+                           : m_medianUs > 0  ? m_medianUs
+                                             : unknownLatencyUs;
+    return (load(now, known) + 1) * average;
+}
+
+std::optional<endpoint_number> two_choice_routing::choose(instant now,
+                                                          std::span<const endpoint_number> excluded)
+{
+    if (const auto probe = takeProbe(now, excluded))
+        return probe;
+    const auto local = pickOf(now, m_local, excluded);
+    if (local) {
+        const auto &known = m_endpoints[*local];
+        if (load(now, known) < known.report.slots)
+            return local;
+    }
+    const auto remote = pickOf(now, m_remote, excluded);
+    if (local && remote)
+        return cost(now, *remote) < cost(now, *local) ? remote : local;
+    if (local || remote)
+        return local ? local : remote;
+    return lastResort(now, excluded);
+}
+
+std::optional<endpoint_number> two_choice_routing::pickOf(instant now, const endpoint_list &list,
+                                                          std::span<const endpoint_number> excluded)
+{
+    const auto first = draw(list, excluded);
+    const auto second = draw(list, excluded);
+    if (!first || !second || first == second)
+        return first;
+    return cost(now, *second) < cost(now, *first) ? second : first;
+}
+
+std::optional<endpoint_number> two_choice_routing::draw(const endpoint_list &list,
+                                                        std::span<const endpoint_number> excluded)
+{
+    if (list.empty())
+        return std::nullopt;
+    for (int i = 0; i < drawsBeforeScan; ++i) {
+        const endpoint_number candidate = list[m_random() % list.size()];
+        if (!contains(excluded, candidate))
+            return candidate;
+    }
+    const auto found = std::find_if(list.begin(), list.end(), [&](endpoint_number candidate) {
+        return !contains(excluded, candidate);
+    });
+    return found == list.end() ? std::nullopt : std::optional(*found);
+}
+
+std::optional<endpoint_number>
+two_choice_routing::takeProbe(instant now, std::span<const endpoint_number> excluded)
+{
+    // A retry is no probe: it has been delayed once already.
+    if (!excluded.empty())
+        return std::nullopt;
+    for (const endpoint_number candidate : m_ejected) {
+        auto &known = m_endpoints[candidate];
+        if (known.ejectedUntil <= now && known.inFlight == 0 && !known.report.draining) {
+            known.state = health::probing;
+            // The next probe waits for the outcome of this one, or for this time if it has none.
+            known.ejectedUntil = now + m_options.firstEjection;
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<endpoint_number>
+two_choice_routing::lastResort(instant now, std::span<const endpoint_number> excluded) const
+{
+    std::optional<endpoint_number> best;
+    for (const endpoint_number candidate : m_ejected) {
+        if (!m_endpoints[candidate].report.draining && !contains(excluded, candidate)
+            && (!best || cost(now, candidate) < cost(now, *best)))
+            best = candidate;
+    }
+    return best;
+}
+
+std::string two_choice_routing::explain(endpoint_number endpoint) const
+{
+    if (endpoint >= m_endpoints.size() || !m_endpoints[endpoint].present)
+        return {};
+    const auto &known = m_endpoints[endpoint];
+    const char *state = known.state == health::good      ? "good"
+                        : known.state == health::ejected ? "ejected"
+                                                         : "probing";
+    return "in_flight=" + std::to_string(known.inFlight)
+           + " average_us=" + std::to_string(static_cast<std::int64_t>(known.averageUs))
+           + " median_us=" + std::to_string(static_cast<std::int64_t>(m_medianUs))
+           + " failures=" + std::to_string(known.failures) + " health=" + state;
+}
+
+} // namespace plantainpitch
--- a/src/librole/router_requests.cpp
+++ b/src/librole/router_requests.cpp
@@ -179,8 +179,9 @@
     if (timedOut)
         last.slow = true;
     request->hedged = true;
+    // A hedge takes from both budgets, so that all added load stays within the retry budget.
     const bool allowed = request->attempts.size() < maxAttempts
-                         && (hedges ? service.hedging->tryTake() : service.retries->tryTake());
+                         && (!hedges || service.hedging->tryTake()) && service.retries->tryTake();
     if (allowed && dispatchNext(now, *request))
         count(hedges ? "hedges_total" : "retries_total", hedges ? "slow" : "timeout");
     else
--- a/src/librole/router_state.cpp
+++ b/src/librole/router_state.cpp
@@ -1,23 +1,13 @@
 #include "detail/router_state.h"
 
-#include "plantainpitch/policy/least_connections.h"
-#include "plantainpitch/policy/no_hedging.h"
+#include "plantainpitch/policy/percentile_hedging.h"
 #include "plantainpitch/policy/token_bucket.h"
+#include "plantainpitch/policy/two_choice_routing.h"
 
 #include <utility>
 
 namespace plantainpitch {
 
-namespace {
-
-std::unique_ptr<routing_policy> defaultRouting(const request_router_options & /*options*/,
-                                               std::uint64_t seed)
-{
-    return std::make_unique<least_connections>(seed);
-}
-
-} // namespace
-
 request_router::state::state(request_router_options value, std::uint64_t seedValue)
     : options(std::move(value))
     , seed(seedValue)
@@ -32,13 +22,14 @@
         service = std::make_unique<router_service>();
         // Each service has its own generator: one service's load must not change another's choices.
         const std::uint64_t ownSeed = seed + services.size();
-        service->routing = options.makeRoutingPolicy ? options.makeRoutingPolicy(ownSeed)
-                                                     : defaultRouting(options, ownSeed);
+        service->routing = options.makeRoutingPolicy
+                                   ? options.makeRoutingPolicy(ownSeed)
+                                   : std::make_unique<two_choice_routing>(ownSeed);
         service->retries = options.makeRetryBudget
                                    ? options.makeRetryBudget()
                                    : std::make_unique<token_bucket>(options.retryBudgetRatio);
         service->hedging = options.makeHedgePolicy ? options.makeHedgePolicy()
-                                                   : std::make_unique<no_hedging>();
+                                                   : std::make_unique<percentile_hedging>();
     }
     return *service;
 }
