--- a/src/librole/detail/answer_checksum.cpp
+++ b/src/librole/answer_checksum.cpp
@@ -1,4 +1,4 @@
-#include "answer_checksum.h"
+#include "detail/answer_checksum.h"
 
 #include <boost/crc.hpp>
 
--- a/src/librole/detail/remembered_requests.cpp
+++ b/src/librole/remembered_requests.cpp
@@ -1,4 +1,4 @@
-#include "remembered_requests.h"
+#include "detail/remembered_requests.h"
 
 #include <algorithm>
 #include <utility>
