--- a/src/librole/request_router.cpp
+++ b/src/librole/request_router.cpp
@@ -39,6 +39,7 @@
 void request_router::onRequest(instant now, const caller_request &request)
 {
     m_state->onRequest(now, request);
+    m_state->wakeDue(now);
 }
 
 void request_router::onCallerGone(instant now, std::uint64_t callerId)
@@ -66,6 +67,8 @@
     } else if (const auto *result = std::get_if<cancel_result>(&content)) {
         m_state->onCancelResult(now, from, *result);
     }
+    // A tick every 50 ms is too coarse for hedging after a 95th percentile of some ms.
+    m_state->wakeDue(now);
 }
 
 void request_router::onRecordOutcome(instant now, const record_outcome &outcome,
