--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -14,7 +14,6 @@
     , m_claimBoot(context.workerBoot)
     , m_phase(phase::adopting)
     , m_adopted(true)
-    , m_submittedAt(now)
     , m_authorityFrom(now)
 {
     m_quietAt = now + inheritedCallsWait();
@@ -245,26 +244,30 @@
     m_view = view::absent;
 }
 
+// Only a list shows the boot id, so starts since the last list may have reached the new boot,
+// answered or not. A task that was never started is gone at once; others need one more list.
 void held_task_machine::onNewBoot(instant now)
 {
-    const bool startOutstanding = m_lateStartUntilUs != 0
-                                  || (m_callId != 0 && m_callOperation == worker_operation::start);
+    const bool startUnanswered = m_lateStartUntilUs != 0
+                                 || (m_callId != 0 && m_callOperation == worker_operation::start);
     m_callId = 0;
     m_nextCallAt = now;
     m_lateStartUntilUs = 0;
-    m_viewCallId = m_context.worker.lastCallId();
-    // Connections to the old boot are gone. Only a start that the shell has not sent yet can
-    // reach the new one, until the call times out.
-    m_quietAt = startOutstanding ? now + m_context.worker.callTimeout() : now;
+    // A start that reached the new boot may take effect until its lease ends, here bounded by
+    // the own clock: that of the new boot may have started again.
+    m_quietAt = startUnanswered
+                        ? m_leaseFrom
+                                  + revocationWait(m_term, m_context.options.clockDriftRatio,
+                                                   m_context.options.revocationMargin)
+                        : now;
     const bool resultKnown = m_view == view::ended
                              && (m_endedState == worker_task_state::finished
                                  || m_endedState == worker_task_state::failed);
-    if (!resultKnown)
-        m_view = startOutstanding ? view::uncertain : view::absent;
-    m_mayBeListed = startOutstanding;
+    m_mayBeListed = startUnanswered || m_view != view::absent;
+    if (m_mayBeListed && !resultKnown)
+        awaitList();
     if (m_phase == phase::held)
         end(release_reason::worker_rebooted);
-    step(now);
 }
 
 } // namespace plantainpitch
--- a/src/librole/held_task_machine.h
+++ b/src/librole/held_task_machine.h
@@ -31,12 +31,12 @@
 /// what the worker is known to do (view) and what is wanted (intent), and takes one step at a
 /// time: at most one call to the worker is outstanding.
 ///
-/// A start whose answer is lost may reach the worker later. Two things bound it: every start
-/// carries an absolute lease end in the worker's clock, and a worker ends a start whose lease has
-/// passed at once; and the shell closes the connection of a call at the call's timeout, so that a
-/// call made to one boot of the worker cannot reach the next. The claim is given back only when
-/// the worker's clock, read in a list that began after the start was sent, is past the lease of
-/// every start that was not answered.
+/// A start whose answer is lost may reach the worker later. Every start carries an absolute lease
+/// end in the worker's clock, and a worker refuses a start whose lease has passed, so the claim is
+/// given back only when the worker's clock, read in a list that began after the start was sent,
+/// is past the lease of every start that was not answered. After a new boot the same wait is
+/// measured by the agent's own clock. That the clock of a worker does not go back when it boots
+/// again is a requirement on the platform.
 class held_task_machine
 {
 public:
@@ -84,6 +84,9 @@
     /// True while the task runs, starts or may run, or is about to.
     [[nodiscard]] bool needsRoom() const;
 
+    /// An inherited claim whose start may still reach the worker, of a size that is not known.
+    [[nodiscard]] bool sizeUnknown() const { return m_adopted && needsRoom() && !m_mayBeListed; }
+
 private:
     enum class view { absent, uncertain, running, ended };
     enum class intent { run, pause, end };
@@ -131,7 +134,6 @@
 
     std::uint64_t m_ticket = 0;
     instant m_claimAt;
-    instant m_submittedAt;
     instant m_settledAt;
     instant m_authorityFrom;
 
--- a/src/librole/task_holder.cpp
+++ b/src/librole/task_holder.cpp
@@ -42,6 +42,8 @@
     const auto verdict = m_state->outbox.onSettled(now, settled, owner->second.mayDropRecord());
     if (verdict == record_outbox::verdict::settled || verdict == record_outbox::verdict::not_taken)
         owner->second.onSettled(now, settled);
+    if (owner->second.currentPhase() == held_task_machine::phase::verifying)
+        m_state->authority.makeDue();
     m_state->settleReservations();
 }
 
@@ -68,6 +70,7 @@
     if (!m_state->context.workerBoot.empty()) {
         m_state->adoptUnlisted(now, grant);
         m_state->strays.onNoClaims(request->sentAt);
+        m_state->inherited = true;
     }
     m_state->stepAll(now);
 }
--- a/src/librole/task_holder_state.cpp
+++ b/src/librole/task_holder_state.cpp
@@ -1,6 +1,6 @@
 #include "task_holder_state.h"
 
-#include <set>
+#include <algorithm>
 #include <vector>
 
 namespace plantainpitch {
@@ -33,6 +33,8 @@
         if (machines.contains(claim.task))
             continue;
         const auto listed = strays.take(claim);
+        if (listed)
+            ledger.observe(claim.task, listed->reserved);
         const std::int64_t workerClockUs = worker.lease().leaseUntilUs(now);
         machines.try_emplace(claim.task, context, claim, listed, workerClockUs, now);
         count("claims_inherited_total", listed ? "listed" : "not_listed");
@@ -71,8 +73,10 @@
 {
     const bool first = context.workerBoot.empty();
     context.workerBoot = answer.list->boot;
-    if (first)
+    if (first) {
+        authority.makeDue(); // an earlier grant could not be used
         return;
+    }
     worker.abandonAll();
     worker.useClockOf(now, answer.workerClockUs);
     strays.clear();
@@ -116,7 +120,9 @@
 {
     std::map<task_id, resources> running;
     for (const worker_task &entry : list.tasks) {
-        if (entry.state == worker_task_state::running)
+        const auto found = machines.find(entry.task);
+        const bool mayRunAgain = found != machines.end() && found->second.needsRoom();
+        if (entry.state == worker_task_state::running || mayRunAgain)
             running[entry.task] = running[entry.task] + entry.reserved;
     }
     ledger.forgetAllObserved();
@@ -154,6 +160,12 @@
         return "no_gateway";
     if (context.workerBoot.empty())
         return "no_worker";
+    // A start of an earlier process may still take effect and needs its room.
+    const bool sizeUnknown = std::any_of(machines.begin(), machines.end(), [](const auto &entry) {
+        return entry.second.sizeUnknown();
+    });
+    if (!inherited || sizeUnknown)
+        return "inherited_claims";
     if (machines.contains(proposal.task) || strays.knows(proposal.task))
         return "held";
     return nullptr;
--- a/src/librole/task_holder_state.h
+++ b/src/librole/task_holder_state.h
@@ -56,6 +56,7 @@
     std::string rack;
     std::uint32_t throttlePercent = 0;
     bool draining = false;
+    bool inherited = false; ///< claims of an earlier process are known
     bool listOutstanding = false;
     instant lastListAt{ duration::min() / 2 };
 };
--- a/src/librole/worker_link.h
+++ b/src/librole/worker_link.h
@@ -43,7 +43,6 @@
     /// A call sent later has a higher id.
     [[nodiscard]] std::uint64_t lastCallId() const { return m_lastCallId; }
     [[nodiscard]] const lease_calculator &lease() const { return m_lease; }
-    [[nodiscard]] duration callTimeout() const { return m_callTimeout; }
     void useClockOf(instant received, std::int64_t workerClockUs)
     {
         m_lease.onAnswer(received, workerClockUs);
