--- a/src/include/plantainpitch/runtime/settings.h
+++ b/src/include/plantainpitch/runtime/settings.h
@@ -30,6 +30,9 @@
     void add(const char *name, std::int64_t &value, const std::string &help,
              const setting_rule &rule);
 
+    /// Adds a check over several settings. \a problem returns nothing or the error with its remedy.
+    void addCheck(std::function<std::string()> problem);
+
     using environment = std::function<const char *(const std::string &variable)>;
 
     /// Reads environment and arguments and checks all settings. Returns the exit code if the
@@ -62,12 +65,14 @@
     request readArguments(const std::vector<std::string> &arguments);
     void rejectUnknown(const std::string &name);
     void checkAll();
+    void checkAcrossFlags();
     void printHelp(std::ostream &output) const;
 
     std::string m_program;
     std::string m_summary;
     std::string m_group;
     std::deque<flag> m_flags; // gflags keeps pointers to the names and texts
+    std::vector<std::function<std::string()>> m_checks;
     std::vector<std::string> m_errors;
 };
 
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -74,6 +74,11 @@
                                             &added.int64Default);
 }
 
+void settings::addCheck(std::function<std::string()> problem)
+{
+    m_checks.push_back(std::move(problem));
+}
+
 std::optional<int> settings::load(const std::vector<std::string> &arguments,
                                   const environment &variables, std::ostream &output,
                                   std::ostream &errors)
@@ -90,6 +95,7 @@
         return 0;
     }
     checkAll();
+    checkAcrossFlags();
     if (!m_errors.empty()) {
         errors << m_program << ": " << m_errors.size()
                << (m_errors.size() == 1 ? " setting is wrong\n" : " settings are wrong\n");
@@ -206,6 +212,14 @@
     }
 }
 
+void settings::checkAcrossFlags()
+{
+    for (const auto &check : m_checks) {
+        if (std::string problem = check(); !problem.empty())
+            m_errors.push_back(std::move(problem));
+    }
+}
+
 void settings::printHelp(std::ostream &output) const
 {
     output << m_program << ": " << m_summary << "\n\n"
--- /dev/null
+++ b/src/plantain-entry/entry_settings.cpp
@@ -0,0 +1,42 @@
+#include "entry_settings.h"
+
+namespace plantainpitch::entry {
+
+void entry_settings::registerIn(runtime::settings &target)
+{
+    using namespace runtime;
+    target.group("Identity");
+    target.add("name", name, "name of this entry, unique in its cell", notEmpty("entry-1"));
+    target.add("data_centre", dataCentre, "data centre of this VM", notEmpty("dc-1"));
+    target.add("cell", cell, "region; entries of one region share the stream cell.<region>",
+               notEmpty("default"));
+
+    target.group("Callers");
+    target.add("caller_address", callerAddress, "address for callers' HTTP", ipAddress());
+    target.add("caller_port", callerPort, "port for callers' HTTP; 0: chosen by the system",
+               portNumber());
+
+    target.group("Administration");
+    target.add("admin_address", adminAddress, "address for administration HTTP", ipAddress());
+    target.add("admin_port", adminPort, "port for administration HTTP; 0: chosen by the system",
+               portNumber());
+
+    target.group("Agents and other entries");
+    target.add("peer_address", peerAddress, "address for agents and other entries", ipAddress());
+    target.add("peer_port", peerPort, "port for agents and other entries; 0: chosen by the system",
+               portNumber());
+    target.add("peers", peers, "address:port list of the other entries", addressList(true));
+
+    target.group("Log service");
+    target.add("log_address", logAddress, "address of the platform's log service", ipAddress());
+    target.add("log_port", logPort, "port of the platform's log service", numberBetween(1, 65535));
+
+    target.group("Process");
+    target.add("threads", threads, "number of threads", numberBetween(1, 256));
+    target.add("router_shards", routerShards, "number of shards that route requests",
+               numberBetween(1, 64));
+    target.add("log_level", logLevel, "smallest level of log lines: debug, info, warning or error",
+               oneOf({ "debug", "info", "warning", "error" }));
+}
+
+} // namespace plantainpitch::entry
--- /dev/null
+++ b/src/plantain-entry/entry_shell.cpp
@@ -0,0 +1,197 @@
+#include "entry_shell.h"
+
+#include "plantainpitch/wire/frame_limits.h"
+
+#include <boost/asio/post.hpp>
+
+namespace plantainpitch::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Callers keep connections open between requests, so far more are open than are in use.
+constexpr std::size_t maxCallerConnections = 10'000;
+
+entry_role_options roleOptions(const entry_settings &values, std::uint64_t incarnation)
+{
+    return { .name = values.name,
+             .dataCentre = values.dataCentre,
+             .cell = values.cell,
+             .incarnation = incarnation,
+             .routerShards = values.routerShards };
+}
+
+runtime::http_server_options serverOptions(const std::string &address, std::uint32_t port)
+{
+    return { .address = address,
+             .port = static_cast<std::uint16_t>(port),
+             .maxBodyBytes = wire::maxBodyBytes };
+}
+
+runtime::http_server_options callerOptions(const entry_settings &values)
+{
+    auto options = serverOptions(values.callerAddress, values.callerPort);
+    options.maxConnections = maxCallerConnections;
+    return options;
+}
+
+runtime::http_client_options logOptions(const entry_settings &values)
+{
+    return { .address = values.logAddress,
+             .port = static_cast<std::uint16_t>(values.logPort),
+             .maxConnections = 4 }; // one append and one read at once for each of two streams
+}
+
+runtime::http_send sendThrough(runtime::http_client &client)
+{
+    return [&client](runtime::http_request request, std::chrono::milliseconds timeout,
+                     std::function<void(runtime::http_result)> done) {
+        client.send(std::move(request), timeout, std::move(done));
+    };
+}
+
+} // namespace
+
+entry_shell::entry_shell(const entry_settings &values)
+    : m_core(values.threads, values.logLevel)
+    , m_incarnation(runtime::randomNumber())
+    , m_role(roleOptions(values, m_incarnation), runtime::randomNumber())
+    , m_runner(
+              m_role, m_core.time(), [this](action todo) { carryOut(std::move(todo)); },
+              [this](const std::exception &fault) { m_core.fail(fault); })
+    , m_logHttp(m_core.context(), logOptions(values))
+    , m_log(sendThrough(m_logHttp), m_core.counters(),
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                    log_pipeline_options().callTimeout))
+    , m_callers(m_core.time(), [this](const entry_event &event) { deliver(event); })
+    , m_admins(
+              m_core.counters(), [this] { return m_role.ready(); },
+              [this](const entry_event &event) { deliver(event); })
+    , m_callerServer(m_core.context(), callerOptions(values), m_callers)
+    , m_adminServer(m_core.context(), serverOptions(values.adminAddress, values.adminPort),
+                    m_admins)
+    , m_peerOptions{ .self = { .kind = process_kind::entry,
+                               .name = values.name,
+                               .dataCentre = values.dataCentre,
+                               .incarnation = m_incarnation } }
+    , m_listener(
+              m_core.context(),
+              { .host = values.peerAddress, .port = static_cast<std::uint16_t>(values.peerPort) },
+              m_peerOptions, m_core.connections(), *this)
+{
+    connectPeers(values.peers);
+}
+
+void entry_shell::connectPeers(const std::string &peers)
+{
+    const auto addresses = runtime::parseHostPorts(peers).value();
+    for (const runtime::host_port &peer : addresses) {
+        m_connectors.push_back(std::make_unique<runtime::peer_connector>(
+                m_core.context(), peer, m_peerOptions, m_core.connections(), *this,
+                runtime::randomNumber()));
+    }
+}
+
+void entry_shell::run()
+{
+    m_callerServer.start();
+    m_adminServer.start();
+    m_listener.start();
+    for (const auto &connector : m_connectors)
+        connector->start();
+    logListening();
+    m_core.loop().run({ .tick = [this] { tick(); },
+                        .stop = [this] { deliver(stop_requested{}); },
+                        .fault = [this](const std::exception &fault) { m_core.fail(fault); } });
+    m_core.log().write({ .event = "stopped" });
+}
+
+void entry_shell::logListening()
+{
+    m_core.log().write({ .event = "listening",
+                         .fields = { { "caller_port", std::to_string(m_callerServer.port()) },
+                                     { "admin_port", std::to_string(m_adminServer.port()) },
+                                     { "peer_port", std::to_string(m_listener.port()) },
+                                     { "incarnation", std::to_string(m_incarnation) },
+                                     { "version", PLANTAIN_VERSION } } });
+}
+
+void entry_shell::tick()
+{
+    deliver(timer_tick{ .nowMs = m_core.time().wallMs() });
+    m_core.log().reportSuppressed();
+    if (!m_callersClosed && m_role.closeListeners()) {
+        m_callersClosed = true;
+        m_callerServer.stopAccepting();
+    }
+}
+
+void entry_shell::carryOut(action todo)
+{
+    if (m_core.carryOut(todo))
+        return;
+    if (const auto *caller = std::get_if<answer_caller>(&todo))
+        m_callers.answer(*caller);
+    else if (const auto *admin = std::get_if<answer_admin>(&todo))
+        m_admins.answer(*admin);
+    else if (const auto *append = std::get_if<append_call>(&todo))
+        carryOut(*append);
+    else if (const auto *read = std::get_if<read_call>(&todo))
+        carryOut(*read);
+    else if (std::holds_alternative<exit_process>(todo))
+        finish();
+    else
+        throw std::logic_error("an entry role has given an action of index "
+                               + std::to_string(todo.index()) + ", which is for agents");
+}
+
+void entry_shell::carryOut(const append_call &call)
+{
+    m_log.append(call, [this](append_answer answer) { deliverLater(std::move(answer)); });
+}
+
+void entry_shell::carryOut(const read_call &call)
+{
+    m_log.read(call, [this](read_answer answer) { deliverLater(std::move(answer)); });
+}
+
+void entry_shell::deliverLater(entry_event event)
+{
+    boost::asio::post(m_core.context(),
+                      [this, event = std::move(event)] { m_runner.deliver(event); });
+}
+
+void entry_shell::finish()
+{
+    const auto idle = [this] {
+        return m_callerServer.openRequests() == 0 && m_adminServer.openRequests() == 0
+               && m_core.connections().queuedBytes() == 0;
+    };
+    m_core.loop().finish(idle, 2s);
+}
+
+void entry_shell::onOpened(connection_id connection, const hello &peer)
+{
+    deliver(connection_opened{ .connection = connection, .peer = peer });
+}
+
+void entry_shell::onMessage(connection_id connection, message content)
+{
+    deliver(message_received{ .connection = connection, .content = std::move(content) });
+}
+
+void entry_shell::onClosed(connection_id connection, const std::string &reason)
+{
+    m_core.log().write(
+            { .event = "connection_closed",
+              .fields = { { "connection", std::to_string(connection) }, { "reason", reason } } });
+    deliver(connection_closed{ .connection = connection });
+}
+
+void entry_shell::onEnded(const std::string &reason)
+{
+    m_core.countConnectionEnd(reason);
+}
+
+} // namespace plantainpitch::entry
