--- a/src/libruntime/base64.cpp
+++ b/src/libruntime/base64.cpp
@@ -14,6 +14,9 @@
         return std::nullopt;
     for (int padding = 0; padding < 2 && !text.empty() && text.back() == '='; ++padding)
         text.remove_suffix(1);
+    // Boost's decoder reads padding anywhere as zero bits.
+    if (text.size() % 4 == 1 || text.find('=') != std::string_view::npos)
+        return std::nullopt;
     const std::size_t bytes = text.size() * 3 / 4;
     std::string result;
     result.reserve(bytes);
--- /dev/null
+++ b/src/libruntime/log_line_test.cpp
@@ -0,0 +1,42 @@
+#include "plantainpitch/runtime/log_line.h"
+#include "plantainpitch/runtime/log_rate_limiter.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+using namespace plantainpitch::runtime;
+
+// Guards against a value that forges a second line or a second field.
+BOOST_AUTO_TEST_CASE(valuesAreQuotedWhenNeeded)
+{
+    const std::string line = formatLogLine({ .level = log_level::warning,
+                                             .event = "e",
+                                             .fields = { { "a", "plain-1" },
+                                                         { "b", "two words" },
+                                                         { "c", "x\ny=\"1\"" },
+                                                         { "d", "" },
+                                                         { "e", std::string("\0\x1b", 2) } } });
+    BOOST_TEST(line
+               == "level=warning event=e a=plain-1 b=\"two words\" c=\"x\\ny=\\\"1\\\"\" d=\"\" "
+                  "e=\"\\x00\\x1b\"");
+}
+
+// Guards against a repeated fault that fills the output, and against a silent gap.
+BOOST_AUTO_TEST_CASE(repeatedEventsAreCountedInsteadOfWritten)
+{
+    log_rate_limiter limiter(2, std::chrono::seconds(10));
+    const instant start(std::chrono::seconds(100));
+    int written = 0;
+    for (int i = 0; i < 7; ++i)
+        written += limiter.admit("fault", start) ? 1 : 0;
+    BOOST_TEST(written == 2);
+    BOOST_TEST(limiter.admit("other", start));
+    BOOST_TEST(limiter.takeSuppressed(start + std::chrono::seconds(9)).empty());
+
+    const auto lines = limiter.takeSuppressed(start + std::chrono::seconds(10));
+    BOOST_REQUIRE(lines.size() == 1U);
+    BOOST_TEST(lines[0].event == "log_lines_suppressed");
+    BOOST_TEST(
+            (lines[0].fields == decltype(lines[0].fields){ { "of", "fault" }, { "count", "5" } }));
+    BOOST_TEST(limiter.admit("fault", start + std::chrono::seconds(10)));
+}
