--- a/src/include/plantainpitch/runtime/peer_connection.h
+++ b/src/include/plantainpitch/runtime/peer_connection.h
@@ -63,7 +63,7 @@
 
     // Used on the strand only.
     wire::frame_reader m_reader;
-    std::array<char, 64 * 1024> m_chunk{};
+    std::array<char, 64UL * 1024> m_chunk{};
     bool m_opened = false;
     bool m_finished = false;
     std::chrono::steady_clock::time_point m_started;
--- a/src/include/plantainpitch/runtime/peer_options.h
+++ b/src/include/plantainpitch/runtime/peer_options.h
@@ -18,7 +18,7 @@
     /// The hello is sent again if nothing else was, so that a live peer is not taken for idle.
     std::chrono::milliseconds keepAliveInterval{ 1'000 };
     /// A peer that reads too slowly for this is disconnected; messages are never dropped singly.
-    std::size_t maxQueuedBytes = 16 * 1024 * 1024;
+    std::size_t maxQueuedBytes = 16UL * 1024 * 1024;
     std::size_t maxConnections = 16'384; ///< of a listener
     std::chrono::milliseconds minBackoff{ 50 };
     std::chrono::milliseconds maxBackoff{ 2'000 };
--- a/src/libruntime/caller_http.cpp
+++ b/src/libruntime/caller_http.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t maxKeyBytes = 256;
-constexpr std::int64_t maxTimeoutMs = 24 * 3600 * 1000;
+constexpr std::int64_t maxTimeoutMs = 24L * 3600 * 1000;
 
 struct bad_request
 {
--- a/src/libruntime/log_service_client.cpp
+++ b/src/libruntime/log_service_client.cpp
@@ -44,7 +44,7 @@
 
 log_service_client::log_service_client(http_send send, metrics &counters,
                                        std::chrono::milliseconds timeout)
-    : m_state(std::make_unique<state>(std::move(send), counters, timeout))
+    : m_state(new state{ .send = std::move(send), .counters = counters, .timeout = timeout })
 {}
 
 log_service_client::~log_service_client() = default;
--- a/src/libruntime/peer_connection_test.cpp
+++ b/src/libruntime/peer_connection_test.cpp
@@ -263,7 +263,7 @@
 {
     fixture f;
     auto options = optionsOf("server", 1);
-    options.maxQueuedBytes = 1024 * 1024;
+    options.maxQueuedBytes = 1024UL * 1024;
     options.idleTimeout = 60s;
     f.listen(options);
     tcp::socket socket = f.rawSocket();
--- a/src/libruntime/role_runner_test.cpp
+++ b/src/libruntime/role_runner_test.cpp
@@ -53,6 +53,7 @@
             [](const std::exception &) { BOOST_ERROR("the role threw"); });
     constexpr int eventsPerThread = 2'000;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int i = 0; i < 4; ++i) {
         threads.emplace_back([&runner] {
             for (int n = 0; n < eventsPerThread; ++n)
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -232,8 +232,10 @@
             output << '\n' << f.group << ":\n";
         title = f.group;
         output << "  --" << f.name << "\n      " << f.help;
-        if (f.defaultText.empty())
-            output << " (no default)\n";
+        if (!f.rule.accepts(f.defaultText))
+            output << " (required)\n";
+        else if (f.defaultText.empty())
+            output << " (default: empty)\n";
         else
             output << " (default: " << f.defaultText << ")\n";
     }
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -10,7 +10,7 @@
 
 const task_id task{ .job = "pay out", .index = 3 };
 
-worker_answer answerTo(worker_operation operation, http_result result)
+worker_answer answerTo(worker_operation operation, const http_result &result)
 {
     return toWorkerAnswer({ .callId = 5, .operation = operation, .task = task }, result);
 }
--- a/src/libwire/batch_codec_test.cpp
+++ b/src/libwire/batch_codec_test.cpp
@@ -21,7 +21,7 @@
                       const std::vector<flatbuffers::Offset<Record>> &records)
 {
     builder.Finish(CreateRecordBatch(builder, 1, 1, builder.CreateVector(records)));
-    return detail::wrap(builder, 1024 * 1024);
+    return detail::wrap(builder, 1024UL * 1024);
 }
 
 } // namespace
--- a/src/libwire/record_reader.cpp
+++ b/src/libwire/record_reader.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-using detail::read;
-
 log_position position(std::uint64_t value)
 {
     return { .value = value };
