--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,15 @@
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@ctest --test-dir $(BUILD)-sanitize --output-on-failure --timeout 600
 
+# A fixed seed and count, so that a run can be repeated and has an end.
+FUZZ_RUNS ?= 200000
+FUZZ_SEED ?= 1
+
+fuzz: packages
+	@cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DPLANTAIN_FUZZ=ON >/dev/null
+	@cmake --build $(BUILD)-fuzz -j $(JOBS) --target wire_fuzz
+	@$(BUILD)-fuzz/wire_fuzz -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=8192 -verbosity=0
+	@echo "wire_fuzz: $(FUZZ_RUNS) runs with seed $(FUZZ_SEED) passed"
+
 clean:
 	@rm -rf build build-*
