--- a/src/libruntime/http_client_connection.cpp
+++ b/src/libruntime/http_client_connection.cpp
@@ -188,12 +188,17 @@
     m_writing = false;
     m_bytesWritten = bytes > 0;
     if (!code) {
-        if (!m_reading)
+        if (m_parser->is_done())
+            onParsed();
+        else if (!m_reading)
             end(http_result_kind::broken); // the read failed before the write was reported
     } else if (!m_bytesWritten && m_wasReused) {
         connect();
     } else if (!m_bytesWritten) {
         end(http_result_kind::connect_failed);
+    } else if (m_parser->is_done()) {
+        closeSocket();
+        onParsed();
     } else if (!m_reading) {
         end(http_result_kind::broken);
     }
@@ -258,6 +263,8 @@
 
 void http_client_connection::onParsed()
 {
+    if (m_writing && m_parser->keep_alive())
+        return; // onWritten() comes back here
     const auto call = std::exchange(m_call, nullptr);
     const bool keep =
             m_parser->keep_alive() && !m_writing && m_buffer.size() == 0 && m_socket.is_open();
--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 16 * 1024;
+/// Bytes of further requests that are read before the present one is answered.
+constexpr std::size_t earlyBytes = 16 * 1024;
 /// Time in which the client may read the last response before the socket is closed. Closing at
 /// once with unread bytes would reset the connection and could destroy the response.
 constexpr std::chrono::milliseconds closingTime{ 1'000 };
@@ -136,7 +137,7 @@
         return;
     m_reading = true;
     m_socket.async_read_some(
-            m_buffer.prepare(readBytes),
+            asio::buffer(m_received),
             [self = shared_from_this()](const error_code &code, std::size_t bytes) {
                 self->onRead(code, bytes);
             });
@@ -156,10 +157,11 @@
         readSome();
         return;
     }
+    asio::buffer_copy(m_buffer.prepare(bytes), asio::buffer(m_received, bytes));
     m_buffer.commit(bytes);
     if (m_phase == phase::idle || m_phase == phase::reading)
         feed();
-    else if (m_buffer.size() < readBytes)
+    else if (m_buffer.size() < earlyBytes)
         readSome();
 }
 
--- a/src/libruntime/http_connection.h
+++ b/src/libruntime/http_connection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +60,8 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_deadline;
     std::shared_ptr<http_server_shared> m_shared;
+    /// Target of the pending read. Separate from m_buffer, whose content moves when it is consumed.
+    std::array<char, 8 * 1024> m_received{};
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     phase m_phase = phase::idle;
