--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <sstream>
 
 namespace plantainpitch::runtime::detail {
 
@@ -273,6 +274,10 @@
     if (m_phase != phase::closing)
         m_phase = phase::writing;
     setDeadline(m_shared->options.idleTimeout);
+    if (response.cutAfterBytes) {
+        writeCut(std::move(response));
+        return;
+    }
     const bool keep = m_keepAlive && !m_shared->closeAfterResponse;
     auto message = std::make_shared<http::response<http::string_body>>(
             toBeast(std::move(response), keep, m_headRequest));
@@ -289,6 +294,18 @@
     }
 }
 
+void http_connection::writeCut(http_response response)
+{
+    const std::size_t bytes = *response.cutAfterBytes;
+    std::ostringstream text;
+    text << toBeast(std::move(response), false, false);
+    auto message = std::make_shared<std::string>(text.str().substr(0, bytes));
+    asio::async_write(m_socket, asio::buffer(*message),
+                      [self = shared_from_this(), message](const error_code &code, std::size_t) {
+                          self->onWritten(code, false);
+                      });
+}
+
 void http_connection::onWritten(const error_code &code, bool keep)
 {
     if (m_requestOpen) {
--- a/src/libruntime/http_connection.h
+++ b/src/libruntime/http_connection.h
@@ -50,6 +50,7 @@
     void dispatchRequest();
     void respond(std::uint64_t number, http_response response);
     void write(http_response response);
+    void writeCut(http_response response);
     void onWritten(const boost::system::error_code &code, bool keep);
     void fail(http_response response);
     void finishClosing();
