--- a/testsuite/standin/service/echo_service.cpp
+++ b/testsuite/standin/service/echo_service.cpp
@@ -82,7 +82,7 @@
     if (m_fail)
         response.status = 500;
     if (m_truncateNext > 0 && m_truncateNext-- > 0)
-        response.cutAfterBytes = 100; // within the header or the body, never the whole
+        response.cutAfterBytes = response.body.size(); // the header takes part of these bytes
     respond(std::move(response));
 }
 
