--- a/testsuite/standin/worker/worker_state.cpp
+++ b/testsuite/standin/worker/worker_state.cpp
@@ -19,6 +19,16 @@
 /// Run time of tasks under --fail_all.
 constexpr std::int64_t failAfterUs = 20'000;
 
+/// The amounts, in a member "resources" or in the body itself.
+resources reservedOf(const json::object &body)
+{
+    const auto *nested = body.if_contains("resources");
+    const auto &amounts = nested && nested->is_object() ? nested->get_object() : body;
+    return { .processorsMilli = number(amounts, "processors_milli", 0),
+             .memoryBytes = number(amounts, "memory_bytes", 0),
+             .accelerators = number(amounts, "accelerators", 0) };
+}
+
 std::string randomBoot()
 {
     std::random_device device;
@@ -143,10 +153,8 @@
     task started;
     started.id = id;
     started.attempt = static_cast<std::uint64_t>(number(body, "attempt", 0));
-    started.reserved = { .processorsMilli = number(body, "processors_milli", 0),
-                         .memoryBytes = number(body, "memory_bytes", 0),
-                         .accelerators = number(body, "accelerators", 0) };
-    started.work = parseCommand(text(body, "command"));
+    started.reserved = reservedOf(body);
+    started.work = parseCommand(text(body, body.contains("spec") ? "spec" : "command"));
     started.leaseUntilUs = number(body, "lease_until_us", 0);
     started.checkpoint = text(body, "checkpoint");
     started.progressUs = parseCheckpointUs(started.checkpoint);
@@ -216,7 +224,7 @@
     }
     if (operation == "throttle") {
         called.throttlePercent =
-                std::clamp<std::int64_t>(number(body, "throttle_percent", 0), 0, 100);
+                std::clamp<std::int64_t>(number(body, "percent", 0), 0, 100);
         return {};
     }
     if (operation != "checkpoint" && operation != "stop")
--- a/testsuite/standin_test.py
+++ b/testsuite/standin_test.py
@@ -86,7 +86,7 @@
         # Guards against a throttle without effect and against samples of the present.
         port = self.start("standin-worker", "--usage_lag_ms=100")
         self.put(port, "j/0", command="run_ms=0;usage_milli=800")
-        cluster.call(port, "POST", "/v1/tasks/j/0/throttle", {"attempt": 1, "throttle_percent": 100})
+        cluster.call(port, "POST", "/v1/tasks/j/0/throttle", {"attempt": 1, "percent": 100})
 
         def throttled_sample():
             _, body = cluster.call(port, "GET", "/v1/usage")
