--- a/testsuite/standin/worker/worker_state.cpp
+++ b/testsuite/standin/worker/worker_state.cpp
@@ -223,8 +223,7 @@
         return {};
     }
     if (operation == "throttle") {
-        called.throttlePercent =
-                std::clamp<std::int64_t>(number(body, "percent", 0), 0, 100);
+        called.throttlePercent = std::clamp<std::int64_t>(number(body, "percent", 0), 0, 100);
         return {};
     }
     if (operation != "checkpoint" && operation != "stop")
