--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <sstream>
 
 namespace plantainpitch::runtime::detail {
 
@@ -19,7 +20,8 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 16 * 1024;
+/// Bytes of further requests that are read before the present one is answered.
+constexpr std::size_t earlyBytes = 16 * 1024;
 /// Time in which the client may read the last response before the socket is closed. Closing at
 /// once with unread bytes would reset the connection and could destroy the response.
 constexpr std::chrono::milliseconds closingTime{ 1'000 };
@@ -136,7 +138,7 @@
         return;
     m_reading = true;
     m_socket.async_read_some(
-            m_buffer.prepare(readBytes),
+            asio::buffer(m_received),
             [self = shared_from_this()](const error_code &code, std::size_t bytes) {
                 self->onRead(code, bytes);
             });
@@ -156,10 +158,11 @@
         readSome();
         return;
     }
+    asio::buffer_copy(m_buffer.prepare(bytes), asio::buffer(m_received, bytes));
     m_buffer.commit(bytes);
     if (m_phase == phase::idle || m_phase == phase::reading)
         feed();
-    else if (m_buffer.size() < readBytes)
+    else if (m_buffer.size() < earlyBytes)
         readSome();
 }
 
@@ -271,6 +274,10 @@
     if (m_phase != phase::closing)
         m_phase = phase::writing;
     setDeadline(m_shared->options.idleTimeout);
+    if (response.cutAfterBytes) {
+        writeCut(std::move(response));
+        return;
+    }
     const bool keep = m_keepAlive && !m_shared->closeAfterResponse;
     auto message = std::make_shared<http::response<http::string_body>>(
             toBeast(std::move(response), keep, m_headRequest));
@@ -287,6 +294,18 @@
     }
 }
 
+void http_connection::writeCut(http_response response)
+{
+    const std::size_t bytes = *response.cutAfterBytes;
+    std::ostringstream text;
+    text << toBeast(std::move(response), false, false);
+    auto message = std::make_shared<std::string>(text.str().substr(0, bytes));
+    asio::async_write(m_socket, asio::buffer(*message),
+                      [self = shared_from_this(), message](const error_code &code, std::size_t) {
+                          self->onWritten(code, false);
+                      });
+}
+
 void http_connection::onWritten(const error_code &code, bool keep)
 {
     if (m_requestOpen) {
--- a/src/libruntime/http_connection.h
+++ b/src/libruntime/http_connection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +50,7 @@
     void dispatchRequest();
     void respond(std::uint64_t number, http_response response);
     void write(http_response response);
+    void writeCut(http_response response);
     void onWritten(const boost::system::error_code &code, bool keep);
     void fail(http_response response);
     void finishClosing();
@@ -59,6 +61,8 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_deadline;
     std::shared_ptr<http_server_shared> m_shared;
+    /// Target of the pending read. Separate from m_buffer, whose content moves when it is consumed.
+    std::array<char, 8 * 1024> m_received{};
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     phase m_phase = phase::idle;
--- /dev/null
+++ b/src/plantain-bench/main.cpp
@@ -0,0 +1,20 @@
+#include "fold_bench.h"
+#include "routing_bench.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_string(only, "", "run one benchmark: fold or routing; empty: all");
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("measures the policies against their baselines, and the cost of the "
+                            "decisions; each line: measure, baseline, policy, target, verdict");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_only.empty() || FLAGS_only == "fold")
+        runFoldBench(std::cout);
+    if (FLAGS_only.empty() || FLAGS_only == "routing")
+        runRoutingBench(std::cout);
+    return 0;
+}
