--- a/src/plantain-bench/main.cpp
+++ b/src/plantain-bench/main.cpp
@@ -13,8 +13,8 @@
                             "decisions; each line: measure, baseline, policy, target, verdict");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_only.empty() || FLAGS_only == "fold")
-        runFoldBench(std::cout);
+        plantainpitch::runFoldBench(std::cout);
     if (FLAGS_only.empty() || FLAGS_only == "routing")
-        runRoutingBench(std::cout);
+        plantainpitch::runRoutingBench(std::cout);
     return 0;
 }
