--- a/src/liblog/config_state_test.cpp
+++ b/src/liblog/config_state_test.cpp
@@ -65,7 +65,7 @@
     const config_change parameters{
         .kind = config_kind::parameters,
         .name = "acc/gift-pooling",
-        .document = R"({"version":1,"account":"acc","template_name":"gift-pooling","task_count":3})"
+        .document = R"({"version":1,"account":"acc","template":"gift-pooling","task_count":3})"
     };
     BOOST_TEST(stream.put(parameters).accepted);
     BOOST_TEST(stream.state.findParameters("acc", "gift-pooling")->taskCount == 3U);
--- a/src/libmodel/documents_test.cpp
+++ b/src/libmodel/documents_test.cpp
@@ -63,7 +63,7 @@
     BOOST_TEST(faultStartsWith(R"(,"task_resources":{"memory":1})", "task_resources.memory"));
     BOOST_TEST(faultStartsWith(R"(,"idempotent_paths":[{"method":"PUT","prefix":"/","x":1}])",
                                "idempotent_paths[0].x"));
-    BOOST_CHECK_THROW(parseParameters(R"({"version":1,"account":"a","template_name":"t","x":1})"),
+    BOOST_CHECK_THROW(parseParameters(R"({"version":1,"account":"a","template":"t","x":1})"),
                       error);
 }
 
@@ -96,6 +96,6 @@
         BOOST_CHECK_THROW(parseTemplate(document), error);
     BOOST_CHECK_THROW(parseTemplate(std::string(100'000, '[')), error);
     BOOST_CHECK_THROW(
-            parseParameters(R"({"version":1,"account":"a","template_name":"t","values":{"x":1}})"),
+            parseParameters(R"({"version":1,"account":"a","template":"t","values":{"x":1}})"),
             error);
 }
