Agree on the worker's paths and start fields; run a batch job end to end

The worker client sent job and index as one path segment and the start command as spec; the stand-in answered 404, so every start failed.

--- a/src/include/plantainpitch/role/worker/worker_answer.h
+++ b/src/include/plantainpitch/role/worker/worker_answer.h
@@ -23,7 +23,7 @@
     worker_operation operation = worker_operation::list;
     task_id task;
     worker_result result = worker_result::no_answer;
-    std::int64_t workerClockUs = 0; ///< valid if result is ok or rejected
+    std::int64_t workerClockUs = 0; ///< 0: the worker was not reached
     std::string checkpoint; ///< checkpoint, stop: the new checkpoint
     std::string problem; ///< rejected: what the worker said
     std::optional<worker_list> list; ///< list
--- a/src/libruntime/worker_client.cpp
+++ b/src/libruntime/worker_client.cpp
@@ -10,19 +10,23 @@
 
 namespace {
 
-/// Task ids contain a slash, which must not become a path separator.
-std::string taskPath(const task_id &task)
+std::string percentEncode(const std::string &text)
 {
-    std::string path = "/v1/tasks/";
-    for (const char c : task.toString()) {
+    static constexpr const char *digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char c : text) {
         const auto byte = static_cast<unsigned char>(c);
-        static constexpr const char *digits = "0123456789ABCDEF";
         if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~')
-            path += c;
+            encoded += c;
         else
-            path.append({ '%', digits[byte >> 4U], digits[byte & 15U] });
+            encoded.append({ '%', digits[byte >> 4U], digits[byte & 15U] });
     }
-    return path;
+    return encoded;
+}
+
+std::string taskPath(const task_id &task)
+{
+    return "/v1/tasks/" + percentEncode(task.job) + '/' + std::to_string(task.index);
 }
 
 http_request withBody(std::string method, std::string target, const json::object &body)
@@ -40,7 +44,7 @@
                       { "resources", detail::toJson(call.reserved) },
                       { "lease_until_us", call.leaseUntilUs },
                       { "checkpoint", call.checkpoint },
-                      { "spec", call.command } });
+                      { "command", call.command } });
 }
 
 } // namespace
--- a/src/libruntime/worker_client_test.cpp
+++ b/src/libruntime/worker_client_test.cpp
@@ -33,11 +33,11 @@
                                                  .checkpoint = "cp",
                                                  .command = "run" });
     BOOST_TEST(request.method == "PUT");
-    BOOST_TEST(request.target == "/v1/tasks/pay%20out%2F3");
+    BOOST_TEST(request.target == "/v1/tasks/pay%20out/3");
     const auto expected = boost::json::parse(
             R"({"attempt":18446744073709551614,"resources":{"processors_milli":1500,
                 "memory_bytes":1099511627776,"accelerators":1},"lease_until_us":77,
-                "checkpoint":"cp","spec":"run"})");
+                "checkpoint":"cp","command":"run"})");
     BOOST_TEST(boost::json::parse(request.body) == expected);
 }
 
@@ -49,11 +49,11 @@
     };
     BOOST_TEST(targetOf(worker_operation::list) == "/v1/worker");
     BOOST_TEST(targetOf(worker_operation::usage) == "/v1/usage");
-    BOOST_TEST(targetOf(worker_operation::renew) == "/v1/tasks/pay%20out%2F3/renew");
-    BOOST_TEST(targetOf(worker_operation::checkpoint) == "/v1/tasks/pay%20out%2F3/checkpoint");
-    BOOST_TEST(targetOf(worker_operation::throttle) == "/v1/tasks/pay%20out%2F3/throttle");
-    BOOST_TEST(targetOf(worker_operation::stop) == "/v1/tasks/pay%20out%2F3/stop");
-    BOOST_TEST(targetOf(worker_operation::forget) == "/v1/tasks/pay%20out%2F3/forget");
+    BOOST_TEST(targetOf(worker_operation::renew) == "/v1/tasks/pay%20out/3/renew");
+    BOOST_TEST(targetOf(worker_operation::checkpoint) == "/v1/tasks/pay%20out/3/checkpoint");
+    BOOST_TEST(targetOf(worker_operation::throttle) == "/v1/tasks/pay%20out/3/throttle");
+    BOOST_TEST(targetOf(worker_operation::stop) == "/v1/tasks/pay%20out/3/stop");
+    BOOST_TEST(targetOf(worker_operation::forget) == "/v1/tasks/pay%20out/3/forget");
     BOOST_TEST(
             toHttpRequest({ .operation = worker_operation::throttle, .throttlePercent = 40 }).body
             == R"({"attempt":0,"percent":40})");
--- a/testsuite/standin/worker/worker_state.cpp
+++ b/testsuite/standin/worker/worker_state.cpp
@@ -154,7 +154,7 @@
     started.id = id;
     started.attempt = static_cast<std::uint64_t>(number(body, "attempt", 0));
     started.reserved = reservedOf(body);
-    started.work = parseCommand(text(body, body.contains("spec") ? "spec" : "command"));
+    started.work = parseCommand(text(body, "command"));
     started.leaseUntilUs = number(body, "lease_until_us", 0);
     started.checkpoint = text(body, "checkpoint");
     started.progressUs = parseCheckpointUs(started.checkpoint);
