--- a/src/include/plantainpitch/role/resource_ledger.h
+++ b/src/include/plantainpitch/role/resource_ledger.h
@@ -26,6 +26,10 @@
     [[nodiscard]] bool reserve(const task_id &task, const resources &amount);
     void release(const task_id &task);
 
+    /// Throws invariant_violation if the reservations exceed the capacity in force at the last
+    /// reservation.
+    void check() const;
+
     /// Charges what the worker says a task has, over the reservation or without one. Not checked
     /// against the capacity, because the task already runs.
     void observe(const task_id &task, const resources &amount);
@@ -44,11 +48,11 @@
         bool holdsReservation = false;
     };
 
-    void check() const;
     [[nodiscard]] std::string describe() const;
 
     resources m_withheld;
     resources m_capacity;
+    resources m_capacityAtReserve;
     std::map<task_id, charge> m_charges;
 };
 
--- a/src/librole/resource_ledger.cpp
+++ b/src/librole/resource_ledger.cpp
@@ -38,6 +38,7 @@
     charge &entry = m_charges[task];
     entry.reserved = amount;
     entry.holdsReservation = true;
+    m_capacityAtReserve = m_capacity;
     check();
     return true;
 }
@@ -83,7 +84,7 @@
     resources sum = m_withheld;
     for (const auto &[task, entry] : m_charges)
         sum = sum + entry.reserved;
-    if (!sum.fitsIn(m_capacity))
+    if (!sum.fitsIn(m_capacityAtReserve) && !m_charges.empty())
         throw invariant_violation(1, "reservations exceed the capacity of the VM", describe());
 }
 
--- a/src/librole/task_holder_state.cpp
+++ b/src/librole/task_holder_state.cpp
@@ -137,6 +137,7 @@
         machine.step(now);
     }
     strays.step(now, worker);
+    ledger.check();
     settleReservations();
 }
 
