--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -5,7 +5,7 @@
 
 namespace plantainpitch {
 
-held_task_machine::held_task_machine(holder_context &context, const held_task &claim,
+held_task_machine::held_task_machine(holder_context &context, const held_task &claim, duration term,
                                      const std::optional<worker_task> &listed,
                                      std::int64_t workerClockUs, instant now)
     : m_context(context)
@@ -16,11 +16,17 @@
     , m_adopted(true)
     , m_authorityFrom(now)
 {
-    m_quietAt = now + inheritedCallsWait();
+    // A start that the earlier process sent may arrive as long as its lease could last.
+    const bool termKnown = term > duration::zero();
+    m_term = term;
+    m_quietAt = now
+                + revocationWait(termKnown ? term : context.options.longestTerm,
+                                 context.options.clockDriftRatio, context.options.revocationMargin);
     if (listed) {
         // The earlier process never granted more than the term, so what is left of its lease is a
         // safe lower bound of the term.
-        m_term = duration(std::max<std::int64_t>(listed->leaseUntilUs - workerClockUs, 0));
+        if (!termKnown)
+            m_term = duration(std::max<std::int64_t>(listed->leaseUntilUs - workerClockUs, 0));
         m_mayBeListed = true;
         m_checkpoint = listed->checkpoint;
         m_result = listed->result;
@@ -34,12 +40,6 @@
                                                         .workerBoot = m_claimBoot });
 }
 
-duration held_task_machine::inheritedCallsWait() const
-{
-    return revocationWait(m_context.options.longestTerm, m_context.options.clockDriftRatio,
-                          m_context.options.revocationMargin);
-}
-
 void held_task_machine::onSettled(instant now, const record_settled &settled)
 {
     switch (m_phase) {
--- a/src/librole/held_task_machine.cpp
+++ b/src/librole/held_task_machine.cpp
@@ -54,6 +54,11 @@
 
 bool held_task_machine::quiet(instant now) const
 {
+    // The worker starts an attempt that finished or failed no second time.
+    if (m_view == view::ended
+        && (m_endedState == worker_task_state::finished
+            || m_endedState == worker_task_state::failed))
+        return true;
     return (m_view == view::absent || m_view == view::ended) && m_lateStartUntilUs == 0
            && now >= m_quietAt;
 }
@@ -210,12 +215,13 @@
 
 void held_task_machine::stepForget(instant now)
 {
-    if (m_mayBeListed && m_view == view::running)
+    if (!m_mayBeListed)
+        m_phase = phase::done;
+    else if (m_view == view::running)
         call(now, worker_operation::stop);
-    else if (m_mayBeListed)
+    else if (m_lateStartUntilUs == 0
+             && now >= m_quietAt) // forgotten, the attempt could start again
         call(now, worker_operation::forget);
-    else
-        m_phase = phase::done;
 }
 
 void held_task_machine::submitClaim(instant now)
--- a/src/librole/task_holder_state.cpp
+++ b/src/librole/task_holder_state.cpp
@@ -29,14 +29,15 @@
 
 void task_holder::state::adoptUnlisted(instant now, const authority_grant &grant)
 {
-    for (const held_task &claim : grant.unlisted) {
+    for (const auto &[claim, termMs] : grant.unlisted) {
         if (machines.contains(claim.task))
             continue;
+        const duration term = std::chrono::milliseconds(termMs);
         const auto listed = strays.take(claim);
         if (listed)
             ledger.observe(claim.task, listed->reserved);
         const std::int64_t workerClockUs = worker.lease().leaseUntilUs(now);
-        machines.try_emplace(claim.task, context, claim, listed, workerClockUs, now);
+        machines.try_emplace(claim.task, context, claim, term, listed, workerClockUs, now);
         count("claims_inherited_total", listed ? "listed" : "not_listed");
     }
 }
--- a/src/librole/task_holder_test.cpp
+++ b/src/librole/task_holder_test.cpp
@@ -292,6 +292,7 @@
 // Guards against an answer to an old call that is taken for the answer to a newer one.
 BOOST_AUTO_TEST_CASE(lateAnswerToAnOldCallIsIgnored)
 {
+    worker.lengthMs = 100'000;
     dropAnswers = { worker_operation::start };
     propose();
     run(seconds(3));
