--- a/src/librole/task_dispatcher_state.cpp
+++ b/src/librole/task_dispatcher_state.cpp
@@ -64,7 +64,7 @@
 {
     lastPass = now;
     dirty = false;
-    ++passes;
+    count("placement_passes_total");
     refreshEligibility(now);
     const std::vector<job_work> work = collect(now, cell);
 
--- a/src/librole/task_dispatcher_state.h
+++ b/src/librole/task_dispatcher_state.h
@@ -64,7 +64,6 @@
     std::unique_ptr<placement_policy> placement;
     bool dirty = true;
     instant lastPass{ duration::min() / 2 };
-    std::uint64_t passes = 0;
 };
 
 } // namespace plantainpitch
--- /dev/null
+++ b/src/librole/task_dispatcher_test.cpp
@@ -0,0 +1,241 @@
+#include "plantainpitch/role/task_dispatcher.h"
+
+#include "plantainpitch/role/rendezvous_hash.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const task_id task{ .job = "job", .index = 0 };
+
+struct fixture
+{
+    fixture()
+        : dispatcher({ .entry = "e1" }, 1)
+    {
+        addVm("vm1", 11);
+        addVm("vm2", 12);
+    }
+
+    void addVm(const std::string &name, connection_id connection)
+    {
+        const resources capacity{ .processorsMilli = 2000 };
+        dispatcher.onVm(now, { .connection = connection,
+                               .vm = name,
+                               .rack = name,
+                               .workerBoot = "b",
+                               .capacity = capacity,
+                               .available = capacity });
+    }
+
+    log_position put(const log_record &record)
+    {
+        const auto results = cell.apply(
+                { .offset = offset++,
+                  .batch = { .producer = 1, .sequence = offset, .records = { record } } });
+        BOOST_REQUIRE(results.size() == 1U);
+        dispatcher.onFolded(now, cell, record, results[0]);
+        return results[0].position;
+    }
+
+    log_position submit(std::int64_t processorsMilli = 1000, const std::string &job = "job",
+                        const std::string &templateName = "t")
+    {
+        return put(job_submitted{ .job = job,
+                                  .templateName = templateName,
+                                  .taskResources = { .processorsMilli = processorsMilli },
+                                  .maxAttempts = 2 });
+    }
+
+    log_position claim(const std::string &vm, const task_id &which = task)
+    {
+        return put(task_claimed{ .task = which,
+                                 .vm = vm,
+                                 .workerBoot = "b",
+                                 .base = cell.findTask(which)->lastChange });
+    }
+
+    /// Ticks for a while and returns the proposals and the records of that time.
+    void run(duration length)
+    {
+        proposals.clear();
+        records.clear();
+        for (const instant end = now + length; now < end;) {
+            now += milliseconds(50);
+            dispatcher.tick(now, cell, 0);
+            for (const action &output : dispatcher.takeActions()) {
+                if (const auto *sent = std::get_if<send_message>(&output))
+                    proposals.emplace_back(sent->connection,
+                                           std::get<task_proposal>(sent->content));
+                else if (const auto *record = std::get_if<submit_record>(&output))
+                    records.push_back(*record);
+                else if (const auto *metric = std::get_if<count_metric>(&output))
+                    passes += metric->name == "placement_passes_total" ? metric->amount : 0;
+            }
+        }
+    }
+
+    instant now{ seconds(100) };
+    cell_state cell;
+    task_dispatcher dispatcher;
+    std::uint64_t offset = 0;
+    std::uint64_t passes = 0;
+    std::vector<std::pair<connection_id, task_proposal>> proposals;
+    std::vector<submit_record> records;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(dispatcher, fixture)
+
+// Guards against two proposals of a task at once, and one that is never repeated.
+BOOST_AUTO_TEST_CASE(oneProposalAtATimeThenAnotherVm)
+{
+    submit();
+    run(milliseconds(1900));
+    BOOST_TEST(proposals.size() == 1U);
+    run(seconds(1));
+    BOOST_REQUIRE(proposals.size() == 1U); // after the timeout, elsewhere
+    BOOST_TEST(proposals[0].first == 12U);
+    dispatcher.onProposalRefused(now, 12, { .task = task, .base = proposals[0].second.base });
+    claim("vm1");
+    run(seconds(3));
+    BOOST_TEST(proposals.empty());
+}
+
+// Guards against jobs that no entry or two entries place.
+BOOST_AUTO_TEST_CASE(eachJobHasOneResponsibleEntry)
+{
+    std::size_t own = 0;
+    const std::vector<std::string> names{ "e1", "e2", "e3" };
+    for (int i = 0; i < 300; ++i)
+        own += rendezvousOwner(names, "job" + std::to_string(i)) == "e1" ? 1 : 0;
+    BOOST_TEST(own > 60U);
+    BOOST_TEST(own < 140U);
+    dispatcher.onEntries({ "another" });
+    submit();
+    run(seconds(1));
+    BOOST_TEST(proposals.empty());
+    dispatcher.onEntries({ "e1" });
+    run(seconds(1));
+    BOOST_TEST(proposals.size() == 1U);
+}
+
+// Guards against moving a task of a lost VM before its authority has ended, or never.
+BOOST_AUTO_TEST_CASE(lostVmIsRevokedThenWaitedOut)
+{
+    submit();
+    claim("vm1");
+    dispatcher.onVmGone(now, "vm1");
+    run(milliseconds(2900));
+    BOOST_TEST(records.empty());
+    run(seconds(1));
+    BOOST_REQUIRE(records.size() == 1U);
+    const auto revoked = std::get<task_revoked>(records[0].record);
+    dispatcher.onRecordOutcome(now, { .token = records[0].token, .taken = true });
+    put(revoked);
+    run(milliseconds(10'650));
+    BOOST_TEST(proposals.empty());
+    run(milliseconds(700));
+    BOOST_REQUIRE(proposals.size() == 1U);
+    BOOST_TEST(proposals[0].second.afterRevocation);
+    BOOST_TEST(proposals[0].second.revocationAgeUs >= 10'700'000);
+    BOOST_TEST(proposals[0].second.revocationAgeUs <= 11'400'000);
+}
+
+// Guards against an entry that takes a revocation in a snapshot for an old one.
+BOOST_AUTO_TEST_CASE(revocationInASnapshotWaitsFromItsReading)
+{
+    submit();
+    const log_position attempt = claim("vm1");
+    put(task_revoked{ .task = task, .attempt = attempt });
+    run(seconds(5));
+    dispatcher.onReset(now, cell);
+    run(milliseconds(10'600));
+    BOOST_TEST(proposals.empty());
+}
+
+// Guards against tasks that fail for ever, and against giving up because of one bad VM.
+BOOST_AUTO_TEST_CASE(failureLimits)
+{
+    submit();
+    for (int i = 0; i < 2; ++i)
+        put(task_released{
+                .task = task, .attempt = claim("vm1"), .reason = release_reason::task_failed });
+    run(milliseconds(100));
+    BOOST_TEST(records.empty());
+    put(task_released{
+            .task = task, .attempt = claim("vm2"), .reason = release_reason::task_failed });
+    run(milliseconds(100));
+    BOOST_REQUIRE(records.size() == 1U);
+    BOOST_TEST(std::holds_alternative<task_failed>(records[0].record));
+}
+
+// Guards against a VM at fault that fails every job of the cell, and one that never comes back.
+BOOST_AUTO_TEST_CASE(failingVmIsQuarantinedAndProbed)
+{
+    dispatcher.onVmGone(now, "vm2");
+    for (int i = 0; i < 3; ++i) {
+        const task_id failing{ .job = "j" + std::to_string(i), .index = 0 };
+        submit(1000, failing.job, "t" + std::to_string(i));
+        put(task_released{ .task = failing,
+                           .attempt = claim("vm1", failing),
+                           .reason = release_reason::task_failed });
+    }
+    run(seconds(29));
+    BOOST_TEST(proposals.empty());
+    run(seconds(3));
+    BOOST_TEST(proposals.size() == 1U);
+}
+
+// Guards against a job that can never run being proposed without an explanation.
+BOOST_AUTO_TEST_CASE(jobThatCanNeverRunIsExplained)
+{
+    submit(64'000);
+    run(seconds(1));
+    BOOST_TEST(proposals.empty());
+    BOOST_TEST(dispatcher.explainTask(cell, task).find("no known worker has 64000")
+               != std::string::npos);
+    addVm("vm3", 13);
+    dispatcher.onVm(now, { .connection = 14,
+                           .vm = "vm4",
+                           .capacity = { .processorsMilli = 64'000 },
+                           .available = { .processorsMilli = 64'000 } });
+    run(seconds(1));
+    BOOST_TEST(proposals.size() == 1U);
+}
+
+// Guards against a pass over all jobs for each record of a burst of cancellations.
+BOOST_AUTO_TEST_CASE(burstOfCancellationsCostsOnePass)
+{
+    for (int i = 0; i < 500; ++i)
+        submit(1000, "job" + std::to_string(i));
+    run(milliseconds(50));
+    passes = 0;
+    for (int i = 0; i < 500; ++i)
+        put(job_cancelled{ .job = "job" + std::to_string(i) });
+    run(milliseconds(50));
+    BOOST_TEST(passes == 1U);
+    BOOST_TEST(proposals.empty());
+}
+
+// Guards against a cancelled job of a lost holder that stays open for ever.
+BOOST_AUTO_TEST_CASE(cancelledTaskOfALostHolderIsFailedAfterTheWait)
+{
+    submit();
+    const log_position attempt = claim("vm1");
+    put(job_cancelled{ .job = "job" });
+    put(task_revoked{ .task = task, .attempt = attempt });
+    run(seconds(10));
+    BOOST_TEST(records.empty());
+    run(seconds(2));
+    BOOST_REQUIRE(records.size() == 1U);
+    BOOST_TEST(std::holds_alternative<task_failed>(records[0].record));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
