Add the batch policies and their baselines

Batch order, placement, throttling, size and interference each have an abstract interface, a baseline and a policy; weighting selects the distance kept from the latency target.

--- /dev/null
+++ b/src/include/plantainpitch/policy/interference_placement.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "plantainpitch/policy/interference_model.h"
+#include "plantainpitch/policy/placement_policy.h"
+#include "plantainpitch/policy/weighting.h"
+
+namespace plantainpitch {
+
+/// Puts a task where it is expected to disturb least and its job has fewest tasks in the rack.
+class interference_placement final : public placement_policy
+{
+public:
+    /// \a model must outlive this object.
+    interference_placement(const interference_model &model, weighting goal)
+        : m_model(model)
+        , m_goal(goal)
+    {}
+
+    [[nodiscard]] std::optional<std::size_t> choose(const placement_request &request,
+                                                    const std::vector<placement_vm> &vms,
+                                                    const vm_filter &allowed,
+                                                    const rack_count &inRack) override;
+
+private:
+    [[nodiscard]] double costOf(const placement_request &request, const placement_vm &vm) const;
+
+    const interference_model &m_model;
+    weighting m_goal;
+    std::size_t m_next = 0; ///< where the search starts
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/policy/learned_size.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "plantainpitch/policy/size_estimator.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace plantainpitch {
+
+/// Moving averages per template, used once there are enough observations.
+class learned_size final : public size_estimator
+{
+public:
+    void onFinished(const std::string &templateName, std::int64_t runTimeMs) override;
+    void onUsage(const std::string &templateName, const resources &used) override;
+    [[nodiscard]] std::int64_t runTimeMs(const std::string &templateName,
+                                         std::int64_t declaredMs) const override;
+    /// Never below what was seen on average; memory is the largest peak seen.
+    [[nodiscard]] resources size(const std::string &templateName,
+                                 const resources &declared) const override;
+
+private:
+    struct record
+    {
+        std::uint32_t finished = 0;
+        double runTimeMs = 0;
+        std::uint32_t samples = 0;
+        double processorsMilli = 0;
+        std::int64_t memoryBytes = 0;
+    };
+
+    std::map<std::string, record> m_records;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/include/plantainpitch/policy/throttle_decision.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace plantainpitch {
+
+struct throttle_decision
+{
+    double batchShare = 1; ///< share of their processors that batch tasks may use
+    bool evict = false; ///< one task has to go
+
+    bool operator==(const throttle_decision &) const = default;
+};
+
+} // namespace plantainpitch
--- /dev/null
+++ b/src/libpolicy/no_interference.cpp
@@ -0,0 +1,21 @@
+#include "plantainpitch/policy/no_interference.h"
+
+namespace plantainpitch {
+
+double no_interference::alone(const std::string &service, double load) const
+{
+    (void)service;
+    (void)load;
+    return 0;
+}
+
+double no_interference::added(const std::string &service, double load,
+                              const template_counts &batch) const
+{
+    (void)service;
+    (void)load;
+    (void)batch;
+    return 0;
+}
+
+} // namespace plantainpitch
