--- a/src/liblog/cell_generator.h
+++ b/src/liblog/cell_generator.h
@@ -45,24 +45,15 @@
         switch (pick(12)) {
         case 0:
             return job_submitted{ .job = jobName(m_jobs++),
-                                  .templateName = "t",
-                                  .account = "a",
-                                  .taskCount = std::uint32_t(1 + pick(4)),
-                                  .command = "run" };
+                                  .taskCount = 1 + std::uint32_t(pick(4)) };
         case 1:
             return job_cancelled{ .job = jobName(pick(m_jobs + 1)) };
         case 2:
-            return task_adopted{ .task = task,
-                                 .attempt = current.attempt,
-                                 .vm = current.vm,
-                                 .agent = pick(9),
-                                 .workerBoot = "b" };
+            return task_adopted{ task, current.attempt, current.vm, pick(9), "b" };
         case 3:
         case 4:
-            return task_released{ .task = task,
-                                  .attempt = current.attempt,
-                                  .checkpoint = "c" + std::to_string(pick(99)),
-                                  .reason = release_reason(pick(8)) };
+            return task_released{ task, current.attempt, std::to_string(pick(99)),
+                                  release_reason(pick(8)) };
         case 5:
             return task_finished{ .task = task, .attempt = current.attempt, .result = "r" };
         case 6:
@@ -72,11 +63,8 @@
         case 8:
             return keyRecord();
         default:
-            return task_claimed{ .task = task,
-                                 .vm = "vm" + std::to_string(pick(5)),
-                                 .agent = pick(9),
-                                 .workerBoot = "b",
-                                 .base = current.lastChange };
+            return task_claimed{ task, "vm" + std::to_string(pick(5)), pick(9), "b",
+                                 current.lastChange };
         }
     }
 
@@ -86,20 +74,11 @@
         const std::uint64_t entry = 1 + pick(2);
         m_hours += pick(4);
         if (pick(4) == 0)
-            return key_finished{ .account = "a",
-                                 .key = key,
-                                 .entry = entry,
-                                 .request = 1,
-                                 .status = 200,
-                                 .body = "ok" };
+            return key_finished{ "a", key, entry, 1, 200, "ok" };
         if (pick(3) == 0)
-            return key_released{ .account = "a", .key = key, .entry = entry, .request = 1 };
+            return key_released{ "a", key, entry, 1 };
         const std::uint64_t hours = pick(10) == 0 ? pick(100'000) : m_hours;
-        return key_claimed{ .account = "a",
-                            .key = key,
-                            .entry = entry,
-                            .request = 1,
-                            .claimedMs = std::int64_t(hours) * 3'600'000 };
+        return key_claimed{ "a", key, entry, 1, 0, std::int64_t(hours) * 3'600'000 };
     }
 
     std::mt19937_64 m_random;
