Keep barriers of one read together and refuse oversized batches

An entry asks for a barrier for each authority request; in an outage of the log they would have piled up one by one. The positions of more than 65,536 records would have overlapped those of the next batch.

--- a/src/include/plantainpitch/log/log_pipeline.h
+++ b/src/include/plantainpitch/log/log_pipeline.h
@@ -103,9 +103,12 @@
         instant deadline;
     };
 
+    /// Barriers that wait for the same read. One entry for all of them bounds the memory and the
+    /// time for a read while agents ask for their authority throughout an outage of the log.
     struct barrier
     {
-        std::uint64_t id = 0;
+        std::uint64_t firstId = 0;
+        std::uint64_t lastId = 0;
         std::uint64_t afterCall = 0; ///< read calls up to this one began too early
         std::optional<std::uint64_t> target; ///< offset that the reader must reach
     };
--- a/src/include/plantainpitch/log/producer_window.h
+++ b/src/include/plantainpitch/log/producer_window.h
@@ -40,7 +40,8 @@
     /// before admit(). Returns true if it looked; that depends only on the offsets, so that all
     /// readers forget at the same batch.
     bool forgetOld(std::uint64_t offset);
-    /// True if the batch is to be folded; it counts as seen afterwards.
+    /// True if the batch is to be folded; it counts as seen afterwards. A batch with sequence 0 or
+    /// too many records never is.
     bool admit(const stored_batch &stored);
 
     [[nodiscard]] bool contains(std::uint64_t producer) const
--- a/src/liblog/log_pipeline.cpp
+++ b/src/liblog/log_pipeline.cpp
@@ -32,7 +32,16 @@
 
 std::uint64_t log_pipeline::requestBarrier(instant now)
 {
-    m_barriers.push_back({ .id = ++m_lastBarrier, .afterCall = m_lastCall, .target = {} });
+    ++m_lastBarrier;
+    if (!m_barriers.empty() && m_barriers.back().afterCall == m_lastCall
+        && !m_barriers.back().target) {
+        m_barriers.back().lastId = m_lastBarrier;
+    } else {
+        m_barriers.push_back({ .firstId = m_lastBarrier,
+                               .lastId = m_lastBarrier,
+                               .afterCall = m_lastCall,
+                               .target = {} });
+    }
     pump(now);
     return m_lastBarrier;
 }
@@ -94,8 +103,8 @@
     std::vector<std::uint64_t> completed;
     std::erase_if(m_barriers, [&](const barrier &b) {
         const bool done = b.target && *b.target <= handedOut;
-        if (done)
-            completed.push_back(b.id);
+        for (std::uint64_t id = b.firstId; done && id <= b.lastId; ++id)
+            completed.push_back(id);
         return done;
     });
     return completed;
--- a/src/liblog/log_pipeline_read_test.cpp
+++ b/src/liblog/log_pipeline_read_test.cpp
@@ -20,6 +20,7 @@
     const read_call early = takeRead();
     const read_answer earlyAnswer = log.read(early);
     const std::uint64_t id = pipeline.requestBarrier(now);
+    const std::uint64_t next = pipeline.requestBarrier(now);
     log.append(other(1));
     pipeline.onReadAnswer(now, earlyAnswer);
     collect();
@@ -28,7 +29,7 @@
     const read_call after = takeRead();
     BOOST_TEST(after.callId > early.callId);
     answer(after);
-    BOOST_TEST((barriers == ids{ id }));
+    BOOST_TEST((barriers == ids{ id, next }));
     BOOST_TEST(batches.size() == 1U);
 }
 
--- a/src/liblog/producer_window.cpp
+++ b/src/liblog/producer_window.cpp
@@ -14,7 +14,10 @@
 bool producer_window::admit(const stored_batch &stored)
 {
     const std::uint64_t sequence = stored.batch.sequence;
-    if (sequence == 0 || isStale(sequence, stored.offset))
+    // The positions of more records would overlap those of the next batch.
+    const bool malformed =
+            sequence == 0 || stored.batch.records.size() > log_position::maxBatchRecords;
+    if (malformed || isStale(sequence, stored.offset))
         return false;
     last_batch &last = m_producers[stored.batch.producer];
     if (sequence <= last.sequence)
--- a/src/liblog/producer_window_test.cpp
+++ b/src/liblog/producer_window_test.cpp
@@ -30,6 +30,8 @@
     BOOST_TEST(!reader.read(4, 1, 1));
     BOOST_TEST(!reader.read(5, 1, 3));
     BOOST_TEST(!reader.read(6, 3, 0));
+    const std::vector<log_record> tooMany(log_position::maxBatchRecords + 1);
+    BOOST_TEST(!reader.window.admit({ 7, { 3, 8, tooMany } }));
 }
 
 // Guards against a late copy that is folded because its producer was forgotten, and against
