--- a/src/liblog/log_pipeline_read_test.cpp
+++ b/src/liblog/log_pipeline_read_test.cpp
@@ -147,3 +147,21 @@
     answer(takeRead());
     BOOST_TEST((settled == ids{ 1 }));
 }
+
+// Guards against a submitter that waits for ever, or a second effect, when the batch lies in the
+// part of the stream that was skipped with a snapshot.
+BOOST_FIXTURE_TEST_CASE(batchInASkippedPartIsRepeatedUnderItsSequence, pipeline_fixture)
+{
+    const append_call call = appendOf("a");
+    log.append(call.batch);
+    fail(call);
+    for (std::uint64_t i = 1; i < 6; ++i)
+        log.append(other(i));
+    log.earliest = 3;
+    serve(1000);
+    BOOST_TEST(pipeline.behindRetention());
+    pipeline.resumeAt(4);
+    serve(5000);
+    BOOST_TEST((settled == ids{ 1 }));
+    BOOST_TEST((log.blobs.back() == call.batch));
+}
