--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -17,13 +17,16 @@
     , m_authorityFrom(now)
 {
     // A start that the earlier process sent may arrive as long as its lease could last.
+    const bool termKnown = term > duration::zero();
+    m_term = term;
     m_quietAt = now
-                + revocationWait(term, context.options.clockDriftRatio,
-                                 context.options.revocationMargin);
+                + revocationWait(termKnown ? term : context.options.longestTerm,
+                                 context.options.clockDriftRatio, context.options.revocationMargin);
     if (listed) {
         // The earlier process never granted more than the term, so what is left of its lease is a
         // safe lower bound of the term.
-        m_term = duration(std::max<std::int64_t>(listed->leaseUntilUs - workerClockUs, 0));
+        if (!termKnown)
+            m_term = duration(std::max<std::int64_t>(listed->leaseUntilUs - workerClockUs, 0));
         m_mayBeListed = true;
         m_checkpoint = listed->checkpoint;
         m_result = listed->result;
--- a/src/librole/held_task_machine.h
+++ b/src/librole/held_task_machine.h
@@ -52,7 +52,7 @@
     };
 
     held_task_machine(holder_context &context, const task_proposal &proposal, instant now);
-    /// Adopts a claim of an earlier agent process on this VM.
+    /// Adopts a claim of an earlier agent process on this VM. \a term is zero if unknown.
     held_task_machine(holder_context &context, const held_task &claim, duration term,
                       const std::optional<worker_task> &listed, std::int64_t workerClockUs,
                       instant now);
