Add the demo and the process tests

make demo serves both client accounts through two entries and runs a batch job to its end while an agent is killed. The process tests run the same programs with kills, pauses, an outage of the log and a rolling restart; ctest registers them once all programs are built. plantain-load ends its sending on SIGTERM, so that a test can load for as long as a restart takes. plantainctl treats the entry's error of kind timeout as a call that may have taken effect.

--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,8 @@
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@ctest --test-dir $(BUILD)-sanitize --output-on-failure --timeout 600
 
+demo: build
+	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/demo.py
+
 clean:
 	@rm -rf build build-*
--- a/src/librole/authority_service.cpp
+++ b/src/librole/authority_service.cpp
@@ -58,8 +58,7 @@
     for (const task_id &id : cell.tasksHeldBy(waiting.request.vm)) {
         const held_task item = { id, cell.findTask(id)->attempt };
         if (std::find(held.begin(), held.end(), item) == held.end())
-            grant.unlisted.push_back(
-                    { item, cell.findJob(id.job)->description.authorityTermMs });
+            grant.unlisted.push_back({ item, cell.findJob(id.job)->description.authorityTermMs });
     }
     return grant;
 }
--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -5,8 +5,8 @@
 
 namespace plantainpitch {
 
-held_task_machine::held_task_machine(holder_context &context, const held_task &claim,
-                                     duration term, const std::optional<worker_task> &listed,
+held_task_machine::held_task_machine(holder_context &context, const held_task &claim, duration term,
+                                     const std::optional<worker_task> &listed,
                                      std::int64_t workerClockUs, instant now)
     : m_context(context)
     , m_task(claim.task)
--- a/src/plantain-load/load_generator.cpp
+++ b/src/plantain-load/load_generator.cpp
@@ -59,6 +59,7 @@
     , m_target("/v1/accounts/" + m_options.account + "/services/" + m_options.templateName)
     , m_choice(servers.size())
     , m_timer(context)
+    , m_signals(context, SIGINT, SIGTERM)
     , m_random(m_options.seed)
     , m_gapSeconds(m_options.rate)
 {
@@ -74,6 +75,10 @@
 {
     m_next = steady_clock::now();
     m_end = m_next + std::chrono::seconds(m_options.durationS);
+    m_signals.async_wait([this](const boost::system::error_code &code, int) {
+        if (!code)
+            stopSending();
+    });
     scheduleNext();
 }
 
@@ -88,7 +93,7 @@
     }
     m_timer.expires_at(m_next);
     m_timer.async_wait([this](const boost::system::error_code &code) {
-        if (!code)
+        if (!code && !m_allSent)
             sendDue();
     });
 }
@@ -160,8 +165,17 @@
 void load_generator::closeAfterLast()
 {
     // Kept connections would keep the io_context running.
-    if (m_allSent && m_open == 0)
+    if (m_allSent && m_open == 0) {
         m_clients.clear();
+        m_signals.cancel();
+    }
+}
+
+void load_generator::stopSending()
+{
+    m_allSent = true;
+    m_timer.cancel();
+    closeAfterLast();
 }
 
 outcome load_generator::outcomeOf(const planned_request &planned, const http_result &result) const
--- a/src/plantain-load/load_generator.h
+++ b/src/plantain-load/load_generator.h
@@ -7,6 +7,7 @@
 #include "server_choice.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
@@ -27,7 +28,8 @@
     load_generator(boost::asio::io_context &context, load_options options,
                    const std::vector<runtime::host_port> &servers);
 
-    /// Schedules all requests. The io_context ends when each has its outcome.
+    /// Schedules all requests. SIGINT or SIGTERM ends the sending early. The io_context ends when
+    /// each request has its outcome.
     void start();
     load_report &report() { return m_report; }
 
@@ -41,6 +43,7 @@
     void send(const request_pointer &planned);
     void onResult(const request_pointer &planned, std::size_t server,
                   const runtime::http_result &result);
+    void stopSending();
     void closeAfterLast();
     [[nodiscard]] outcome outcomeOf(const planned_request &planned,
                                     const runtime::http_result &result) const;
@@ -50,6 +53,7 @@
     std::vector<std::unique_ptr<runtime::http_client>> m_clients;
     server_choice m_choice;
     boost::asio::steady_timer m_timer;
+    boost::asio::signal_set m_signals;
     std::mt19937_64 m_random;
     std::exponential_distribution<double> m_gapSeconds;
     time_point m_next;
--- a/src/plantainctl/admin_client.cpp
+++ b/src/plantainctl/admin_client.cpp
@@ -22,6 +22,14 @@
     return value && value->is_string() ? std::string(value->get_string()) : std::string();
 }
 
+exit_code exitCodeOf(const std::string &kind)
+{
+    if (kind == "revision_conflict")
+        return exit_code::revision_conflict;
+    // The entry does not know yet whether the log has the change.
+    return kind == "timeout" ? exit_code::no_answer : exit_code::refused;
+}
+
 [[noreturn]] void throwServerError(unsigned status, const json::object &body)
 {
     const auto *fault = body.if_contains("error");
@@ -31,9 +39,8 @@
                               "check that --server is the administration port of an entry");
     const auto &details = fault->get_object();
     const auto kind = textOf(details, "kind");
-    throw command_failure(kind == "revision_conflict" ? exit_code::revision_conflict
-                                                      : exit_code::refused,
-                          kind, textOf(details, "message"), textOf(details, "remedy"));
+    throw command_failure(exitCodeOf(kind), kind, textOf(details, "message"),
+                          textOf(details, "remedy"));
 }
 
 } // namespace
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -137,11 +137,13 @@
 class Vm:
     """A VM with its worker, service and agent."""
 
-    def __init__(self, name, worker, service, agent, worker_journal, service_journal):
+    def __init__(self, name, worker, service, agent, status_port, worker_journal,
+                 service_journal):
         self.name = name
         self.worker = worker
         self.service = service
         self.agent = agent
+        self.status_port = status_port
         self.worker_journal = worker_journal
         self.service_journal = service_journal
 
@@ -198,14 +200,16 @@
             name + "-service", "standin-service", "--port=0", f"--vm={name}",
             f"--service_ms={service_ms}", f"--journal={service_journal}")
         entries = ",".join(f"{LOOPBACK}:{e.peer_port}" for e in self.entries)
+        status_port = free_ports(1)[0]
         agent = self.start_program(
             name + "-agent", "plantain-agent", f"--vm={name}", f"--data_centre={data_centre}",
             f"--rack={rack}", f"--entries={entries}",
             f"--worker_address={LOOPBACK}", f"--worker_port={worker.wait_listening()}",
             f"--service_address={LOOPBACK}", f"--service_port={service.wait_listening()}",
             f"--service_template={template}", "--slots=8", "--connections=64",
-            f"--status_port={free_ports(1)[0]}", "--threads=2")
-        self.vms.append(Vm(name, worker, service, agent, worker_journal, service_journal))
+            f"--status_port={status_port}", "--threads=2")
+        self.vms.append(
+            Vm(name, worker, service, agent, status_port, worker_journal, service_journal))
         return self.vms[-1]
 
     def servers(self):
@@ -222,6 +226,30 @@
             raise RuntimeError(f"plantainctl {' '.join(arguments)}: {run.stdout}{run.stderr}")
         return decode(run.stdout.encode()) if run.stdout else None
 
+    def request(self, account, template, path="/balance/1", entry=0, method="GET"):
+        """Status of one request through an entry; 0 if there was no response."""
+        return call(self.entries[entry].caller_port, method,
+                    f"/v1/accounts/{account}/services/{template}{path}")[0]
+
+    def wait_served(self, account, template, timeout_s=20):
+        """Waits until every entry answers requests for the service."""
+        for i, entry in enumerate(self.entries):
+            wait_until(lambda number=i: self.request(account, template, entry=number) == 200,
+                       timeout_s, f"{entry.program.name} answers for {template}")
+
+    def running_tasks(self, vm, state="running"):
+        """Ids of the tasks in that state on the worker of a VM."""
+        status, body = call(vm.worker.listening_port, "GET", "/v1/worker")
+        return [t["id"] for t in body["tasks"] if t["state"] == state] if status == 200 else []
+
+    def wait_job_finished(self, job, tasks, timeout_s):
+        """Waits until the administration API shows all tasks of a job as finished."""
+        def finished():
+            answer = self.control("job", job, check=False)
+            states = [t["phase"] for t in answer["job"]["tasks"]] if "job" in answer else []
+            return len(states) == tasks and set(states) == {"finished"}
+        wait_until(finished, timeout_s, f"all {tasks} tasks of job {job} are finished")
+
     def start_load(self, *arguments):
         """Starts plantain-load with JSON output in the background."""
         process = subprocess.Popen(
@@ -266,6 +294,12 @@
         return [json.loads(line) for line in lines if line.endswith("\n")]
 
 
+def ended(vm, state):
+    """Lines of a worker's journal for attempts that ended in that state."""
+    return [line for line in read_journal(vm.worker_journal)
+            if line["event"] == "end" and line["state"] == state]
+
+
 def overlapping_runs(vms, now_us):
     """Pairs of runs of one task that overlap in time, from the workers' journals."""
     runs = {}
--- a/testsuite/plantainctl_test.py
+++ b/testsuite/plantainctl_test.py
@@ -46,6 +46,8 @@
             return
         if self.path.startswith("/v1/templates/"):
             self.handle_template(body)
+        elif self.path == "/v1/jobs/slow":
+            self.refuse(504, "timeout")
         elif self.path == "/v1/jobs":
             self.answer(200, {"job": {"id": "j1", "tasks": [{"index": 0, "state": "pending"}]}})
         else:
@@ -157,6 +159,7 @@
         lost = self.run_ctl("cancel", "j1", "--output=json")
         self.assertEqual(lost.returncode, 5)
         self.assertEqual(json.loads(lost.stdout)["error"]["kind"], "no_answer")
+        self.assertEqual(self.run_ctl("cancel", "slow").returncode, 5)
         self.server.shutdown()
         self.server.server_close()
         self.assertEqual(self.run_ctl("cancel", "j1").returncode, 4)
