--- a/src/libruntime/http_client_connection.cpp
+++ b/src/libruntime/http_client_connection.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 16 * 1024;
+constexpr std::size_t readBytes = 16UL * 1024;
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
 
 http_response fromBeast(http::response<http::string_body> message)
--- a/src/libruntime/http_client_test.cpp
+++ b/src/libruntime/http_client_test.cpp
@@ -51,6 +51,7 @@
     http_client client(running.context,
                        { .address = "127.0.0.1", .port = server.port(), .maxConnections = 3 });
     std::vector<std::future<http_result>> results;
+    results.reserve(300);
     for (int i = 0; i < 300; ++i)
         results.push_back(
                 sendAsync(client, { .method = "POST", .target = "/t", .body = std::to_string(i) }));
--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 /// Bytes of further requests that are read before the present one is answered.
-constexpr std::size_t earlyBytes = 16 * 1024;
+constexpr std::size_t earlyBytes = 16UL * 1024;
 /// Time in which the client may read the last response before the socket is closed. Closing at
 /// once with unread bytes would reset the connection and could destroy the response.
 constexpr std::chrono::milliseconds closingTime{ 1'000 };
--- a/src/plantain-load/load_generator.cpp
+++ b/src/plantain-load/load_generator.cpp
@@ -33,7 +33,7 @@
 /// The entry's reason, else the kind of error in the body.
 std::string reasonOf(const http_response &response)
 {
-    const auto reason = headerOf(response, "X-Plantain-Reason");
+    auto reason = headerOf(response, "X-Plantain-Reason");
     if (!reason.empty())
         return reason;
     boost::system::error_code code;
--- a/src/plantainctl/admin_client.cpp
+++ b/src/plantainctl/admin_client.cpp
@@ -61,7 +61,7 @@
     const auto response = send(std::move(request));
     boost::system::error_code code;
     const auto value = json::parse(response.body, code);
-    const auto object = !code && value.is_object() ? value.get_object() : json::object();
+    auto object = !code && value.is_object() ? value.get_object() : json::object();
     if (response.status >= 300)
         throwServerError(response.status, object);
     if (code || !value.is_object())
