--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@ctest --test-dir $(BUILD)-sanitize --output-on-failure --timeout 600
 
+demo: build
+	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/demo.py
+
 # A fixed seed and count, so that a run can be repeated and has an end.
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
--- a/src/include/plantainpitch/runtime/http_client.h
+++ b/src/include/plantainpitch/runtime/http_client.h
@@ -20,7 +20,7 @@
     std::uint16_t port = 0;
     std::size_t maxConnections = 64; ///< further requests wait
     std::chrono::milliseconds connectTimeout{ 1'000 };
-    std::size_t maxBodyBytes = 16 * 1024 * 1024;
+    std::size_t maxBodyBytes = 16UL * 1024 * 1024;
 };
 
 /// Sends HTTP/1.1 requests to one server over a pool of kept connections. Never sends a request a
