--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,9 @@
 fuzz: packages
 	@cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DPLANTAIN_FUZZ=ON >/dev/null
 	@cmake --build $(BUILD)-fuzz -j $(JOBS) --target wire_fuzz
-	@$(BUILD)-fuzz/wire_fuzz -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=8192 -verbosity=0
+	@$(BUILD)-fuzz/wire_fuzz -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=8192 \
+		-artifact_prefix=$(BUILD)-fuzz/ >$(BUILD)-fuzz/wire_fuzz.log 2>&1 \
+		|| { tail -n 50 $(BUILD)-fuzz/wire_fuzz.log; exit 1; }
 	@echo "wire_fuzz: $(FUZZ_RUNS) runs with seed $(FUZZ_SEED) passed"
 
 clean:
