Route by load per slot, draw two different endpoints, eject by service time

Ejection alone did harm: after the wave moved on, recovered endpoints stayed out while the others were full.

--- a/src/include/plantainpitch/policy/least_connections.h
+++ b/src/include/plantainpitch/policy/least_connections.h
@@ -18,8 +18,7 @@
     void onReport(instant now, endpoint_number endpoint, const endpoint_report &report) override;
     void onRemoved(endpoint_number endpoint) override;
     void onDispatched(instant now, endpoint_number endpoint) override;
-    void onEnded(instant now, endpoint_number endpoint, dispatch_end end,
-                 duration latency) override;
+    void onEnded(instant now, endpoint_number endpoint, const dispatch_result &result) override;
     std::optional<endpoint_number> choose(instant now,
                                           std::span<const endpoint_number> excluded) override;
     [[nodiscard]] std::string explain(endpoint_number endpoint) const override;
--- a/src/include/plantainpitch/policy/routing_policy.h
+++ b/src/include/plantainpitch/policy/routing_policy.h
@@ -30,6 +30,14 @@
     abandoned, ///< cancelled, or lost a hedge; its latency is at least the given time
 };
 
+/// What the policy learns from a dispatch that ended.
+struct dispatch_result
+{
+    dispatch_end end = dispatch_end::answered;
+    duration latency{}; ///< since the dispatch, with the time on the link
+    duration serviceTime{}; ///< answered: as the agent measured it, without link and queue
+};
+
 /// Chooses endpoints of one service. Requests in flight from this entry are known exactly through
 /// onDispatched() and onEnded(); those of other entries only through reports.
 class routing_policy
@@ -44,8 +52,7 @@
     virtual void onReport(instant now, endpoint_number endpoint, const endpoint_report &report) = 0;
     virtual void onRemoved(endpoint_number endpoint) = 0;
     virtual void onDispatched(instant now, endpoint_number endpoint) = 0;
-    virtual void onEnded(instant now, endpoint_number endpoint, dispatch_end end,
-                         duration latency) = 0;
+    virtual void onEnded(instant now, endpoint_number endpoint, const dispatch_result &result) = 0;
 
     /// Endpoint for the next request; nothing if all are excluded, draining or gone.
     virtual std::optional<endpoint_number> choose(instant now,
--- a/src/include/plantainpitch/policy/two_choice_options.h
+++ b/src/include/plantainpitch/policy/two_choice_options.h
@@ -9,10 +9,13 @@
 struct two_choice_options
 {
     double averageWeight = 0.1; ///< of a new latency sample in the average
-    /// An endpoint is slow if its average is above this multiple of the median of all endpoints.
-    double slowFactor = 3;
+    /// An endpoint is slow if its average service time is above this multiple of the median of all
+    /// endpoints. The service time is used, since the latency depends on the distance as well.
+    double slowFactor = 2;
     /// Samples are cut off at this multiple of the median, so that one outlier ejects nobody.
     double outlierFactor = 10;
+    /// Part of the slots of a local candidate in use above which a remote one may be chosen.
+    double spillShare = 1.0;
     std::uint32_t minSamples = 8; ///< before an endpoint can be called slow
     std::uint32_t failuresInARow = 5; ///< after which an endpoint is ejected
     double maxEjectedShare = 0.3;
--- a/src/include/plantainpitch/policy/two_choice_routing.h
+++ b/src/include/plantainpitch/policy/two_choice_routing.h
@@ -24,8 +24,7 @@
     void onReport(instant now, endpoint_number endpoint, const endpoint_report &report) override;
     void onRemoved(endpoint_number endpoint) override;
     void onDispatched(instant now, endpoint_number endpoint) override;
-    void onEnded(instant now, endpoint_number endpoint, dispatch_end end,
-                 duration latency) override;
+    void onEnded(instant now, endpoint_number endpoint, const dispatch_result &result) override;
     std::optional<endpoint_number> choose(instant now,
                                           std::span<const endpoint_number> excluded) override;
     [[nodiscard]] std::string explain(endpoint_number endpoint) const override;
@@ -40,9 +39,11 @@
         instant reportedAt;
         std::uint32_t inFlight = 0; ///< from this entry, exact
         std::uint32_t inFlightAtReport = 0;
-        double averageUs = 0;
+        double averageUs = 0; ///< latency
+        double serviceAverageUs = 0;
         std::uint32_t samples = 0;
         std::uint32_t failures = 0; ///< in a row
+        bool failing = false; ///< ejected for failures
         health state = health::good;
         instant ejectedUntil;
         duration ejection{}; ///< length of the current or last one
@@ -52,20 +53,27 @@
 
     [[nodiscard]] double load(instant now, const known_endpoint &endpoint) const;
     [[nodiscard]] double cost(instant now, endpoint_number endpoint) const;
+    /// True if less than this share of the slots is in use, as far as is known.
+    [[nodiscard]] bool hasFreeSlot(instant now, endpoint_number endpoint, double share) const;
+    std::optional<endpoint_number> chooseGood(instant now,
+                                              std::span<const endpoint_number> excluded);
     std::optional<endpoint_number> pickOf(instant now, const endpoint_list &list,
                                           std::span<const endpoint_number> excluded);
+    /// Random endpoint that is neither excluded nor  other.
     std::optional<endpoint_number> draw(const endpoint_list &list,
-                                        std::span<const endpoint_number> excluded);
+                                        std::span<const endpoint_number> excluded,
+                                        std::optional<endpoint_number> other);
     std::optional<endpoint_number> takeProbe(instant now,
                                              std::span<const endpoint_number> excluded);
     [[nodiscard]] std::optional<endpoint_number>
     lastResort(instant now, std::span<const endpoint_number> excluded) const;
 
-    void addSample(known_endpoint &endpoint, duration latency);
-    void judgeProbe(instant now, known_endpoint &endpoint, dispatch_end end, duration latency);
-    void eject(instant now, known_endpoint &endpoint);
+    void addSample(known_endpoint &endpoint, const dispatch_result &result);
+    void judgeProbe(instant now, known_endpoint &endpoint, const dispatch_result &result);
+    void eject(instant now, known_endpoint &endpoint, bool isFailing);
     void refresh(instant now);
     void ejectSlow(instant now);
+    [[nodiscard]] double medianOf(double known_endpoint::*average) const;
     [[nodiscard]] std::size_t mayEject() const;
     void rebuildLists();
 
@@ -75,7 +83,8 @@
     endpoint_list m_local; ///< neither draining nor ejected
     endpoint_list m_remote;
     endpoint_list m_ejected; ///< ejected or probing
-    double m_medianUs = 0; ///< of the averages of all endpoints
+    double m_medianUs = 0; ///< of the latency averages of all endpoints
+    double m_serviceMedianUs = 0;
     instant m_refreshedAt;
     bool m_refreshed = false;
 };
--- a/src/libpolicy/least_connections.cpp
+++ b/src/libpolicy/least_connections.cpp
@@ -25,8 +25,8 @@
         ++m_endpoints[endpoint].inFlight;
 }
 
-void least_connections::onEnded(instant /*now*/, endpoint_number endpoint, dispatch_end /*end*/,
-                                duration /*latency*/)
+void least_connections::onEnded(instant /*now*/, endpoint_number endpoint,
+                                const dispatch_result & /*result*/)
 {
     if (endpoint < m_endpoints.size() && m_endpoints[endpoint].inFlight > 0)
         --m_endpoints[endpoint].inFlight;
--- a/src/libpolicy/two_choice_ejection.cpp
+++ b/src/libpolicy/two_choice_ejection.cpp
@@ -4,8 +4,17 @@
 
 namespace plantainpitch {
 
-void two_choice_routing::onEnded(instant now, endpoint_number endpoint, dispatch_end end,
-                                 duration latency)
+namespace {
+
+double toUs(duration value)
+{
+    return static_cast<double>(std::max<duration::rep>(value.count(), 1));
+}
+
+} // namespace
+
+void two_choice_routing::onEnded(instant now, endpoint_number endpoint,
+                                 const dispatch_result &result)
 {
     if (endpoint >= m_endpoints.size() || !m_endpoints[endpoint].present)
         return;
@@ -13,44 +22,49 @@
     if (known.inFlight > 0)
         --known.inFlight;
     // An abandoned request took at least this long: it counts only as evidence of slowness.
-    const bool isSample = end == dispatch_end::answered
-                          || (end == dispatch_end::abandoned
-                              && static_cast<double>(latency.count()) > known.averageUs);
+    const bool isSample =
+            result.end == dispatch_end::answered
+            || (result.end == dispatch_end::abandoned && toUs(result.latency) > known.averageUs);
     if (isSample)
-        addSample(known, latency);
-    if (end == dispatch_end::answered)
+        addSample(known, result);
+    if (result.end == dispatch_end::answered)
         known.failures = 0;
-    else if (end == dispatch_end::failed)
+    else if (result.end == dispatch_end::failed)
         ++known.failures;
     if (known.state != health::good)
-        judgeProbe(now, known, end, latency);
+        judgeProbe(now, known, result);
     else if (known.failures >= m_options.failuresInARow && m_ejected.size() < mayEject())
-        eject(now, known);
+        eject(now, known, true);
     refresh(now);
 }
 
-void two_choice_routing::addSample(known_endpoint &endpoint, duration latency)
+void two_choice_routing::addSample(known_endpoint &endpoint, const dispatch_result &result)
 {
-    double sampleUs = static_cast<double>(std::max<duration::rep>(latency.count(), 1));
-    if (m_medianUs > 0)
-        sampleUs = std::min(sampleUs, m_medianUs * m_options.outlierFactor);
-    endpoint.averageUs =
-            endpoint.samples == 0
-                    ? sampleUs
-                    : endpoint.averageUs
-                              + m_options.averageWeight * (sampleUs - endpoint.averageUs);
+    const auto add = [&](double &average, double sampleUs, double medianUs) {
+        if (medianUs > 0)
+            sampleUs = std::min(sampleUs, medianUs * m_options.outlierFactor);
+        average =
+                average <= 0 ? sampleUs : average + m_options.averageWeight * (sampleUs - average);
+    };
+    add(endpoint.averageUs, toUs(result.latency), m_medianUs);
+    const bool hasTime =
+            result.end == dispatch_end::answered && result.serviceTime > duration::zero();
+    add(endpoint.serviceAverageUs, toUs(hasTime ? result.serviceTime : result.latency),
+        m_serviceMedianUs);
     ++endpoint.samples;
 }
 
-void two_choice_routing::judgeProbe(instant now, known_endpoint &endpoint, dispatch_end end,
-                                    duration latency)
+void two_choice_routing::judgeProbe(instant now, known_endpoint &endpoint,
+                                    const dispatch_result &result)
 {
     // Answers to requests from before the ejection are no probes.
-    if (endpoint.state != health::probing || end == dispatch_end::refused)
+    if (endpoint.state != health::probing || result.end == dispatch_end::refused)
         return;
-    const auto latencyUs = static_cast<double>(latency.count());
-    const bool passed = end == dispatch_end::answered
-                        && (m_medianUs <= 0 || latencyUs <= m_medianUs * m_options.slowFactor);
+    const bool hasTime = result.serviceTime > duration::zero();
+    const double timeUs = toUs(hasTime ? result.serviceTime : result.latency);
+    const double medianUs = hasTime ? m_serviceMedianUs : m_medianUs;
+    const bool passed = result.end == dispatch_end::answered
+                        && (medianUs <= 0 || timeUs <= medianUs * m_options.slowFactor);
     if (!passed) {
         endpoint.ejection = std::min(endpoint.ejection * 2, m_options.longestEjection);
         endpoint.ejectedUntil = now + endpoint.ejection;
@@ -62,13 +76,16 @@
     if (++endpoint.probesPassed < m_options.goodProbes)
         return;
     endpoint.state = health::good;
-    endpoint.averageUs = m_medianUs; // the old average describes the time before the ejection
+    // The old averages describe the time before the ejection.
+    endpoint.averageUs = m_medianUs;
+    endpoint.serviceAverageUs = m_serviceMedianUs;
     endpoint.samples = 1;
     rebuildLists();
 }
 
-void two_choice_routing::eject(instant now, known_endpoint &endpoint)
+void two_choice_routing::eject(instant now, known_endpoint &endpoint, bool isFailing)
 {
+    endpoint.failing = isFailing;
     endpoint.state = health::ejected;
     // An endpoint that is ejected again soon after it came back keeps its longer ejection.
     const bool again = endpoint.ejection > duration::zero()
@@ -87,18 +104,24 @@
         return;
     m_refreshed = true;
     m_refreshedAt = now;
-    std::vector<double> averages;
-    averages.reserve(m_endpoints.size());
+    m_medianUs = medianOf(&known_endpoint::averageUs);
+    m_serviceMedianUs = medianOf(&known_endpoint::serviceAverageUs);
+    ejectSlow(now);
+}
+
+double two_choice_routing::medianOf(double known_endpoint::*average) const
+{
+    std::vector<double> values;
+    values.reserve(m_endpoints.size());
     for (const auto &endpoint : m_endpoints) {
         if (endpoint.present && endpoint.samples > 0)
-            averages.push_back(endpoint.averageUs);
+            values.push_back(endpoint.*average);
     }
-    if (averages.empty())
-        return;
-    const auto middle = averages.begin() + static_cast<std::ptrdiff_t>(averages.size() / 2);
-    std::nth_element(averages.begin(), middle, averages.end());
-    m_medianUs = *middle;
-    ejectSlow(now);
+    if (values.empty())
+        return 0;
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
 }
 
 void two_choice_routing::ejectSlow(instant now)
@@ -108,13 +131,13 @@
         for (auto &endpoint : m_endpoints) {
             if (endpoint.present && endpoint.state == health::good
                 && endpoint.samples >= m_options.minSamples
-                && endpoint.averageUs > m_medianUs * m_options.slowFactor
-                && (!slowest || endpoint.averageUs > slowest->averageUs))
+                && endpoint.serviceAverageUs > m_serviceMedianUs * m_options.slowFactor
+                && (!slowest || endpoint.serviceAverageUs > slowest->serviceAverageUs))
                 slowest = &endpoint;
         }
         if (!slowest)
             return;
-        eject(now, *slowest);
+        eject(now, *slowest, false);
     }
 }
 
--- a/src/libpolicy/two_choice_routing.cpp
+++ b/src/libpolicy/two_choice_routing.cpp
@@ -65,7 +65,8 @@
     const double average = known.samples > 0 ? known.averageUs
                            : m_medianUs > 0  ? m_medianUs
                                              : unknownLatencyUs;
-    return (load(now, known) + 1) * average;
+    const double slots = std::max<std::uint32_t>(known.report.slots, 1);
+    return (1 + (load(now, known) + 1) / slots) * average;
 }
 
 std::optional<endpoint_number> two_choice_routing::choose(instant now,
@@ -73,43 +74,61 @@
 {
     if (const auto probe = takeProbe(now, excluded))
         return probe;
+    const auto chosen = chooseGood(now, excluded);
+    if (!chosen)
+        return lastResort(now, excluded);
+    if (m_ejected.empty() || hasFreeSlot(now, *chosen, 1))
+        return chosen;
+    // A slow endpoint is better than a long queue, and this brings it back soon if it is slow no
+    // longer.
+    const auto slow = draw(m_ejected, excluded, std::nullopt);
+    if (!slow || m_endpoints[*slow].failing || cost(now, *slow) >= cost(now, *chosen))
+        return chosen;
+    m_endpoints[*slow].state = health::probing;
+    return slow;
+}
+
+std::optional<endpoint_number>
+two_choice_routing::chooseGood(instant now, std::span<const endpoint_number> excluded)
+{
     const auto local = pickOf(now, m_local, excluded);
-    if (local) {
-        const auto &known = m_endpoints[*local];
-        if (load(now, known) < known.report.slots)
-            return local;
-    }
+    if (local && hasFreeSlot(now, *local, m_options.spillShare))
+        return local;
     const auto remote = pickOf(now, m_remote, excluded);
     if (local && remote)
         return cost(now, *remote) < cost(now, *local) ? remote : local;
-    if (local || remote)
-        return local ? local : remote;
-    return lastResort(now, excluded);
+    return local ? local : remote;
+}
+
+bool two_choice_routing::hasFreeSlot(instant now, endpoint_number endpoint, double share) const
+{
+    const auto &known = m_endpoints[endpoint];
+    return load(now, known) < known.report.slots * share;
 }
 
 std::optional<endpoint_number> two_choice_routing::pickOf(instant now, const endpoint_list &list,
                                                           std::span<const endpoint_number> excluded)
 {
-    const auto first = draw(list, excluded);
-    const auto second = draw(list, excluded);
-    if (!first || !second || first == second)
+    const auto first = draw(list, excluded, std::nullopt);
+    const auto second = first ? draw(list, excluded, first) : std::nullopt;
+    if (!second)
         return first;
     return cost(now, *second) < cost(now, *first) ? second : first;
 }
 
 std::optional<endpoint_number> two_choice_routing::draw(const endpoint_list &list,
-                                                        std::span<const endpoint_number> excluded)
+                                                        std::span<const endpoint_number> excluded,
+                                                        std::optional<endpoint_number> other)
 {
-    if (list.empty())
-        return std::nullopt;
-    for (int i = 0; i < drawsBeforeScan; ++i) {
+    const auto usable = [&](endpoint_number candidate) {
+        return candidate != other && !contains(excluded, candidate);
+    };
+    for (int i = 0; i < drawsBeforeScan && !list.empty(); ++i) {
         const endpoint_number candidate = list[m_random() % list.size()];
-        if (!contains(excluded, candidate))
+        if (usable(candidate))
             return candidate;
     }
-    const auto found = std::find_if(list.begin(), list.end(), [&](endpoint_number candidate) {
-        return !contains(excluded, candidate);
-    });
+    const auto found = std::find_if(list.begin(), list.end(), usable);
     return found == list.end() ? std::nullopt : std::optional(*found);
 }
 
--- a/src/librole/router_messages.cpp
+++ b/src/librole/router_messages.cpp
@@ -35,8 +35,8 @@
     }
     auto &service = serviceOf(request->caller.request.templateName);
     service.hedging->onLatency(now - attempt->sentAt);
-    endAttempt(now, *request, *attempt, detail::attempt_state::may_have_run,
-               dispatch_end::answered);
+    endAttempt(now, *request, *attempt, detail::attempt_state::may_have_run, dispatch_end::answered,
+               duration(content.serviceTimeUs));
     finishAnswered(now, request->number, content.content);
 }
 
--- a/src/librole/router_requests.cpp
+++ b/src/librole/router_requests.cpp
@@ -204,7 +204,7 @@
 
 void request_router::state::endAttempt(instant now, pending_request &request,
                                        dispatch_attempt &attempt, detail::attempt_state state,
-                                       dispatch_end end)
+                                       dispatch_end end, duration serviceTime)
 {
     const bool wasOpen = attempt.isOpen();
     attempt.state = state;
@@ -212,7 +212,9 @@
         return;
     auto &service = serviceOf(request.caller.request.templateName);
     if (attempt.counted)
-        service.routing->onEnded(now, attempt.endpoint, end, now - attempt.sentAt);
+        service.routing->onEnded(
+                now, attempt.endpoint,
+                { .end = end, .latency = now - attempt.sentAt, .serviceTime = serviceTime });
     attempt.counted = false;
     service.endpoints[attempt.endpoint].inFlight.erase(request.number);
     service.endpoints.removeIfUnused(attempt.endpoint);
--- a/src/plantain-bench/routing_bench.cpp
+++ b/src/plantain-bench/routing_bench.cpp
@@ -131,7 +131,9 @@
         now += duration(20);
         const auto chosen = policy.choose(now, {}).value_or(0);
         policy.onDispatched(now, chosen);
-        policy.onEnded(now, chosen, dispatch_end::answered, duration(9000 + i % 2000));
+        policy.onEnded(
+                now, chosen,
+                { .latency = duration(9000 + i % 2000), .serviceTime = duration(8000 + i % 2000) });
     }
     const std::chrono::duration<double, std::nano> spent = std::chrono::steady_clock::now() - start;
     return spent.count() / decisions;
