--- a/src/include/plantainpitch/policy/two_choice_routing.h
+++ b/src/include/plantainpitch/policy/two_choice_routing.h
@@ -8,11 +8,14 @@
 
 namespace plantainpitch {
 
-/// Chooses the better of two random endpoints by (in-flight + 1) x latency average.
+/// Chooses the better of two random endpoints by (1 + (in-flight + 1) / slots) x latency average.
+/// In-flight counts in units of the slots: as long as slots are free, a request does not wait for
+/// the others, and an idle slow endpoint must not look better than a good one in use.
 ///
-/// Endpoints of the local data centre come first; a request spills over if both local candidates
-/// have no free slot and a remote one costs less. Slow and failing endpoints are ejected, at most
-/// maxEjectedShare of them, and brought back by probes: single requests after the ejection time.
+/// Endpoints of the local data centre come first. A remote one is taken if it costs less and the
+/// better local candidate is slow or has no free slot. Slow and failing endpoints are ejected, at
+/// most maxEjectedShare of them, and brought back by probes: single requests after the ejection
+/// time.
 class two_choice_routing final : public routing_policy
 {
 public:
@@ -53,6 +56,7 @@
 
     [[nodiscard]] double load(instant now, const known_endpoint &endpoint) const;
     [[nodiscard]] double cost(instant now, endpoint_number endpoint) const;
+    [[nodiscard]] bool isSlow(endpoint_number endpoint) const;
     /// True if less than this share of the slots is in use, as far as is known.
     [[nodiscard]] bool hasFreeSlot(instant now, endpoint_number endpoint, double share) const;
     std::optional<endpoint_number> chooseGood(instant now,
@@ -70,6 +74,7 @@
 
     void addSample(known_endpoint &endpoint, const dispatch_result &result);
     void judgeProbe(instant now, known_endpoint &endpoint, const dispatch_result &result);
+    /// The lists are to be rebuilt afterwards.
     void eject(instant now, known_endpoint &endpoint, bool isFailing);
     void refresh(instant now);
     void ejectSlow(instant now);
--- a/src/libpolicy/two_choice_ejection.cpp
+++ b/src/libpolicy/two_choice_ejection.cpp
@@ -33,8 +33,10 @@
         ++known.failures;
     if (known.state != health::good)
         judgeProbe(now, known, result);
-    else if (known.failures >= m_options.failuresInARow && m_ejected.size() < mayEject())
+    else if (known.failures >= m_options.failuresInARow && m_ejected.size() < mayEject()) {
         eject(now, known, true);
+        rebuildLists();
+    }
     refresh(now);
 }
 
@@ -95,7 +97,6 @@
     endpoint.ejectedUntil = now + endpoint.ejection;
     endpoint.probesPassed = 0;
     endpoint.failures = 0;
-    rebuildLists();
 }
 
 void two_choice_routing::refresh(instant now)
@@ -126,19 +127,25 @@
 
 void two_choice_routing::ejectSlow(instant now)
 {
-    while (m_ejected.size() < mayEject()) {
-        known_endpoint *slowest = nullptr;
-        for (auto &endpoint : m_endpoints) {
-            if (endpoint.present && endpoint.state == health::good
-                && endpoint.samples >= m_options.minSamples
-                && endpoint.serviceAverageUs > m_serviceMedianUs * m_options.slowFactor
-                && (!slowest || endpoint.serviceAverageUs > slowest->serviceAverageUs))
-                slowest = &endpoint;
-        }
-        if (!slowest)
-            return;
-        eject(now, *slowest, false);
+    const std::size_t allowed = mayEject();
+    if (m_ejected.size() >= allowed)
+        return;
+    const double slowUs = m_serviceMedianUs * m_options.slowFactor;
+    std::vector<known_endpoint *> slow;
+    for (auto &endpoint : m_endpoints) {
+        if (endpoint.present && !endpoint.report.draining && endpoint.state == health::good
+            && endpoint.samples >= m_options.minSamples && endpoint.serviceAverageUs > slowUs)
+            slow.push_back(&endpoint);
     }
+    if (slow.empty())
+        return;
+    std::sort(slow.begin(), slow.end(), [](const known_endpoint *a, const known_endpoint *b) {
+        return a->serviceAverageUs > b->serviceAverageUs;
+    });
+    slow.resize(std::min(slow.size(), allowed - m_ejected.size()));
+    for (auto *endpoint : slow)
+        eject(now, *endpoint, false);
+    rebuildLists();
 }
 
 std::size_t two_choice_routing::mayEject() const
--- a/src/libpolicy/two_choice_routing.cpp
+++ b/src/libpolicy/two_choice_routing.cpp
@@ -92,7 +92,7 @@
 two_choice_routing::chooseGood(instant now, std::span<const endpoint_number> excluded)
 {
     const auto local = pickOf(now, m_local, excluded);
-    if (local && hasFreeSlot(now, *local, m_options.spillShare))
+    if (local && hasFreeSlot(now, *local, m_options.spillShare) && !isSlow(*local))
         return local;
     const auto remote = pickOf(now, m_remote, excluded);
     if (local && remote)
@@ -100,6 +100,11 @@
     return local ? local : remote;
 }
 
+bool two_choice_routing::isSlow(endpoint_number endpoint) const
+{
+    return m_endpoints[endpoint].serviceAverageUs > m_serviceMedianUs * m_options.spillFactor;
+}
+
 bool two_choice_routing::hasFreeSlot(instant now, endpoint_number endpoint, double share) const
 {
     const auto &known = m_endpoints[endpoint];
