--- a/src/libpolicy/two_choice_routing.cpp
+++ b/src/libpolicy/two_choice_routing.cpp
@@ -1,6 +1,7 @@
 #include "plantainpitch/policy/two_choice_routing.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace plantainpitch {
 
@@ -54,7 +55,7 @@
     const double reported = endpoint.report.running + endpoint.report.queued;
     const double others = std::max(0.0, reported - endpoint.inFlightAtReport);
     const auto age = (now - endpoint.reportedAt) / m_options.reportHalfLife;
-    const double weight = age >= 8 ? 0.0 : 1.0 / static_cast<double>(1U << std::max<int>(0, age));
+    const double weight = age >= 8 ? 0.0 : std::ldexp(1.0, -static_cast<int>(age));
     return endpoint.inFlight + others * weight;
 }
 
--- a/src/librole/request_faults_test.cpp
+++ b/src/librole/request_faults_test.cpp
@@ -315,7 +315,7 @@
             const auto &body = reply.content.body;
             if (reply.outcome == outcome_kind::answered
                 && (!body.starts_with(request.request.body + "|") || !body.ends_with("|end")))
-                return name + " got a wrong or incomplete answer: " + body;
+                return std::string(name).append(" got a wrong or incomplete answer: ").append(body);
             if (request.request.path == "/pay/" && runs > 1)
                 return name + " ran " + std::to_string(runs) + " times";
         }
--- a/src/librole/request_router_test.cpp
+++ b/src/librole/request_router_test.cpp
@@ -103,8 +103,8 @@
     }
 
     /// Outcome of a record; \a accepted counts only if it was taken.
-    void settle(std::uint64_t token, bool taken, bool accepted, std::optional<key_state> holder,
-                std::int64_t ms = 5)
+    void settle(std::uint64_t token, bool taken, bool accepted,
+                const std::optional<key_state> &holder, std::int64_t ms = 5)
     {
         router.onRecordOutcome(
                 at(ms), { .token = token, .taken = taken, .result = { .accepted = accepted } },
