Tell an agent when the log names another agent process for its claim

Cause: a grant called an inherited claim not held while its adoption was refused for the worker's boot id, so the new agent forgot the claim and adopted it again without end. Ruled out: confirming the claim of any process of the VM, since a frozen agent could then start a task that its successor has released.

--- a/src/include/plantainpitch/role/message/withdrawn_task.h
+++ b/src/include/plantainpitch/role/message/withdrawn_task.h
@@ -9,6 +9,7 @@
     revoked, ///< stop, then release
     cancelled, ///< stop, then release with the reason cancelled
     not_held, ///< the log knows another holder or the task has ended: stop, forget
+    other_agent, ///< the claim is of another agent process on the same VM
 };
 
 /// A claim that is not confirmed.
--- a/src/librole/authority_service.cpp
+++ b/src/librole/authority_service.cpp
@@ -12,13 +12,15 @@
 {
     const task_state *task = cell.findTask(held.task);
     if (!task || isFinal(task->phase) || task->phase == task_phase::pending
-        || task->attempt != held.attempt || task->vm != waiting.request.vm
-        || task->agent != waiting.agent)
+        || task->attempt != held.attempt || task->vm != waiting.request.vm)
         return withdrawal::not_held;
     if (cell.findJob(held.task.job)->cancelled)
         return withdrawal::cancelled;
     if (task->phase == task_phase::revoking)
         return withdrawal::revoked;
+    // An agent that was replaced must not go on: its successor may already have released the task.
+    if (task->agent != waiting.agent)
+        return withdrawal::other_agent;
     return std::nullopt;
 }
 
--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -92,16 +92,32 @@
     // Attempts go from claimed to revoking and never back. If the claim stands after the adoption
     // was refused, it stood then, so the refusal was for the boot id: the claim is of a worker
     // process that has ended, and its tasks with it.
-    if (m_phase == phase::verifying && sentAt > m_settledAt) {
-        m_phase = phase::held;
-        m_quietAt = now;
-        end(release_reason::worker_rebooted);
-    }
+    if (m_phase == phase::verifying && sentAt > m_settledAt)
+        endForEarlierBoot(now);
     m_authorityFrom = std::max(m_authorityFrom, sentAt);
 }
 
-void held_task_machine::onWithdrawn(instant now, withdrawal why)
+void held_task_machine::endForEarlierBoot(instant now)
 {
+    m_phase = phase::held;
+    m_quietAt = now;
+    m_ofEarlierBoot = true;
+    end(release_reason::worker_rebooted);
+}
+
+void held_task_machine::onWithdrawn(instant now, instant sentAt, withdrawal why)
+{
+    if (why == withdrawal::other_agent) {
+        // The claim stands, see onConfirmed().
+        if (m_phase == phase::verifying && sentAt > m_settledAt)
+            endForEarlierBoot(now);
+        if (m_ofEarlierBoot || m_phase == phase::adopting || m_phase == phase::verifying
+            || m_phase == phase::closing) {
+            step(now);
+            return;
+        }
+        why = withdrawal::not_held;
+    }
     switch (m_phase) {
     case phase::adopting:
     case phase::verifying:
--- a/src/librole/held_task_machine.h
+++ b/src/librole/held_task_machine.h
@@ -61,7 +61,8 @@
     void onSettled(instant now, const record_settled &settled);
     /// An authority_request sent at \a sentAt that named this attempt was answered.
     void onConfirmed(instant now, instant sentAt);
-    void onWithdrawn(instant now, withdrawal why);
+    /// The answer to an authority_request sent at \a sentAt withdrew this attempt.
+    void onWithdrawn(instant now, instant sentAt, withdrawal why);
     void onWorkerAnswer(instant now, const worker_answer &answer);
     /// A list by the call \a callId, sent at \a sentAt. \a entry: this attempt, if listed.
     void onListed(std::uint64_t callId, instant sentAt, std::int64_t workerClockUs,
@@ -96,6 +97,7 @@
     void onStartAnswer(instant now, const worker_answer &answer);
     void onStopAnswer(const worker_answer &answer);
     void awaitList();
+    void endForEarlierBoot(instant now);
     void endByWithdrawal(instant now, withdrawal why);
     void onAbsent(instant sentAt);
     void followAuthority(instant now);
@@ -129,6 +131,7 @@
     worker_task_state m_endedState = worker_task_state::stopped;
     bool m_withoutRecord = false; ///< the log has another holder: stop and forget only
     bool m_adopted = false;
+    bool m_ofEarlierBoot = false; ///< inherited, of a worker process that has ended
     bool m_mayBeListed = false; ///< a start was sent or the worker listed the task
 
     std::uint64_t m_ticket = 0;
--- a/src/librole/task_holder.cpp
+++ b/src/librole/task_holder.cpp
@@ -63,7 +63,7 @@
         if (withdrawn == grant.withdrawn.end())
             found->second.onConfirmed(now, request->sentAt);
         else
-            found->second.onWithdrawn(now, withdrawn->why);
+            found->second.onWithdrawn(now, request->sentAt, withdrawn->why);
     }
     // Before the first list the boot id and the running tasks are not known; a later grant names
     // the same claims.
