--- a/testsuite/matrix/fake_log.cpp
+++ b/testsuite/matrix/fake_log.cpp
@@ -24,6 +24,8 @@
 
 void fake_log::store(const append_call &call, append_answer &answer)
 {
+    if (onStored)
+        onStored(call.batch);
     stream &target = m_streams[call.stream];
     answer.offset = target.first + target.batches.size();
     target.batches.push_back({ m_queue.now(), { answer.offset, call.batch } });
--- a/testsuite/matrix/fake_log.h
+++ b/testsuite/matrix/fake_log.h
@@ -31,6 +31,7 @@
     int loseAppendAnswers = 0; ///< these appends take effect, their answers are lost
     duration readLag{}; ///< reads do not show appends younger than this
     std::size_t retainedBatches = 1'000'000;
+    std::function<void(const record_batch &)> onStored;
 
 private:
     struct stored
--- a/testsuite/matrix/fake_worker.cpp
+++ b/testsuite/matrix/fake_worker.cpp
@@ -215,7 +215,7 @@
     m_watch.onTaskEnded(m_vm, name);
 }
 
-void fake_worker::die()
+void fake_worker::die(bool withAgent)
 {
     if (!m_alive)
         return;
@@ -223,7 +223,8 @@
     for (auto &[name, task] : m_tasks) {
         if (task.view.state == worker_task_state::running)
             end(name, task, worker_task_state::stopped);
-        if (task.view.state == worker_task_state::finished && !task.reported)
+        const bool known = task.reported && !withAgent;
+        if (task.view.state == worker_task_state::finished && !known)
             m_watch.onFinishForgotten(name);
     }
     m_tasks.clear();
--- a/testsuite/matrix/fake_worker.h
+++ b/testsuite/matrix/fake_worker.h
@@ -20,7 +20,8 @@
 
     void call(const worker_call &call, std::function<void(worker_answer)> done);
     /// The VM or the worker process dies; tasks end at once.
-    void die();
+    /// \a withAgent: what the agent of the VM knows is lost as well.
+    void die(bool withAgent);
     void restart();
     [[nodiscard]] bool alive() const { return m_alive; }
     /// The whole VM is suspended: its tasks make no progress, its clock counts on.
--- a/testsuite/matrix/faults.cpp
+++ b/testsuite/matrix/faults.cpp
@@ -50,7 +50,7 @@
 void rebootWorker(world &target, workload &, node &process)
 {
     node &agent = process.isEntry ? someAgent(target) : process;
-    agent.worker->die();
+    agent.worker->die(false);
     target.queue.after(milliseconds(500), [&agent] { agent.worker->restart(); });
 }
 
--- a/testsuite/matrix/observer.cpp
+++ b/testsuite/matrix/observer.cpp
@@ -51,7 +51,8 @@
 
 void observer::onFinishForgotten(const std::string &task)
 {
-    --m_finished[task];
+    if (!m_recorded.contains(task))
+        --m_finished[task];
 }
 
 void observer::onVmUsage(const std::string &vm, const resources &used, const resources &capacity)
--- a/testsuite/matrix/observer.h
+++ b/testsuite/matrix/observer.h
@@ -24,8 +24,9 @@
     void onTaskEnded(const std::string &vm, const std::string &task);
     void onTaskCheckpointed(const std::string &task, log_position attempt, std::int64_t progressMs);
     void onTaskFinished(const std::string &task);
-    /// A worker died before anybody could learn that the task had finished there: the system has
-    /// to run it again from its checkpoint.
+    void onFinishRecorded(const std::string &task) { m_recorded.insert(task); }
+    /// A worker died, and with it all knowledge that the task had finished there, unless the log
+    /// has it: the system has to run the task again from its checkpoint.
     void onFinishForgotten(const std::string &task);
     void onVmUsage(const std::string &vm, const resources &used, const resources &capacity);
 
@@ -59,6 +60,7 @@
 
     std::map<std::string, task_view> m_tasks;
     std::map<std::string, int> m_finished;
+    std::set<std::string> m_recorded; ///< the log has a task_finished
     std::map<std::uint64_t, int> m_serviceStarts;
     std::set<std::uint64_t> m_notRun;
     std::map<outcome_kind, std::uint64_t> m_outcomes;
--- a/testsuite/matrix/world.cpp
+++ b/testsuite/matrix/world.cpp
@@ -18,6 +18,12 @@
     , m_random(options.seed)
 {
     log.retainedBatches = options.retainedBatches;
+    log.onStored = [this](const record_batch &batch) {
+        for (const log_record &record : batch.records) {
+            if (const auto *finished = std::get_if<task_finished>(&record))
+                watch.onFinishRecorded(finished->task.toString());
+        }
+    };
     makeNodes();
     connectNodes();
 }
@@ -404,7 +410,7 @@
 void world::killVm(node &target)
 {
     if (target.worker)
-        target.worker->die();
+        target.worker->die(true);
     if (!target.alive)
         return;
     target.alive = false;
@@ -448,9 +454,16 @@
     if (!target.alive || target.stopping)
         return;
     target.stopping = true;
-    if (!target.isEntry)
-        watch.onDrainStarted(queue.now(), target.name);
-    deliver(target, target.incarnation, stop_requested{});
+    const auto stop = [this, &target, incarnation = target.incarnation] {
+        if (!target.isEntry)
+            watch.onDrainStarted(queue.now(), target.name);
+        deliver(target, incarnation, stop_requested{});
+    };
+    // A frozen process gets the signal, and with it the order to leave, when it wakes.
+    if (target.frozen)
+        target.waiting.emplace_back(stop);
+    else
+        stop();
 }
 
 void world::finishGracefulStop(node &target)
