Settle an idempotency key by a late answer or a late proof

A request that ended as unknown kept its key for 24 hours even if the agent's answer or proof arrived just after the deadline, so each repetition by the caller got unknown as well. The caller's own answer stays as it was.

--- a/src/librole/key_guard.cpp
+++ b/src/librole/key_guard.cpp
@@ -11,6 +11,9 @@
 /// Bounds the memory used in a long outage. A record dropped here leaves its key held, which is
 /// answered as unknown.
 constexpr std::size_t maxRefusedRecords = 10'000;
+/// Agents remember answers for 60 s.
+constexpr duration unsettledKeptFor = std::chrono::seconds(60);
+constexpr std::size_t maxUnsettledKeys = 10'000;
 constexpr duration resubmitInterval = std::chrono::seconds(1);
 /// The log takes several hundred appends a second for all processes, in batches of up to 500.
 constexpr std::size_t maxResubmittedAtOnce = 200;
@@ -71,12 +74,13 @@
     return taken;
 }
 
-void key_guard::submitFinished(std::uint64_t number, const caller_request &caller,
-                               const service_answer &content, action_list &actions)
+void key_guard::submitFinished(std::uint64_t number, const std::string &account,
+                               const std::string &key, const service_answer &content,
+                               action_list &actions)
 {
     const bool isStored = content.body.size() <= maxStoredBodyBytes;
-    submit(key_finished{ .account = caller.request.account,
-                         .key = caller.idempotencyKey,
+    submit(key_finished{ .account = account,
+                         .key = key,
                          .entry = m_entry,
                          .request = number,
                          .status = content.status,
@@ -105,11 +109,48 @@
     m_submitted.erase(found);
 }
 
-void key_guard::resubmit(instant now, action_list &actions)
+void key_guard::keepUnsettled(instant now, std::uint64_t number, std::uint32_t attempt,
+                              const caller_request &caller)
 {
-    if (m_refused.empty() || now < m_nextResubmit)
+    if (m_unsettled.size() >= maxUnsettledKeys)
+        return;
+    m_unsettled[number] = { .attempt = attempt,
+                            .account = caller.request.account,
+                            .key = caller.idempotencyKey,
+                            .until = now + unsettledKeptFor };
+}
+
+std::optional<key_guard::unsettled_key> key_guard::takeUnsettled(std::uint64_t number,
+                                                                 std::uint32_t attempt)
+{
+    // Earlier attempts were proven not to have run before the last one was sent.
+    const auto found = m_unsettled.find(number);
+    if (found == m_unsettled.end() || found->second.attempt != attempt)
+        return std::nullopt;
+    std::optional<unsettled_key> taken = std::move(found->second);
+    m_unsettled.erase(found);
+    return taken;
+}
+
+void key_guard::onLateAnswer(std::uint64_t number, std::uint32_t attempt,
+                             const service_answer &content, action_list &actions)
+{
+    if (const auto settled = takeUnsettled(number, attempt))
+        submitFinished(number, settled->account, settled->key, content, actions);
+}
+
+void key_guard::onLateProof(std::uint64_t number, std::uint32_t attempt, action_list &actions)
+{
+    if (const auto settled = takeUnsettled(number, attempt))
+        submitReleased(number, settled->account, settled->key, actions);
+}
+
+void key_guard::tick(instant now, action_list &actions)
+{
+    if (now < m_nextResubmit)
         return;
     m_nextResubmit = now + resubmitInterval;
+    std::erase_if(m_unsettled, [now](const auto &key) { return key.second.until < now; });
     for (std::size_t i = 0; i < maxResubmittedAtOnce && !m_refused.empty(); ++i) {
         submit(std::move(m_refused.front()), actions);
         m_refused.pop_front();
--- a/src/librole/request_router.cpp
+++ b/src/librole/request_router.cpp
@@ -83,7 +83,7 @@
 void request_router::tick(instant now)
 {
     m_state->wakeDue(now);
-    m_state->keys.resubmit(now, m_state->actions);
+    m_state->keys.tick(now, m_state->actions);
 }
 
 std::size_t request_router::inFlight() const
--- a/src/librole/request_router_test.cpp
+++ b/src/librole/request_router_test.cpp
@@ -345,6 +345,31 @@
     BOOST_CHECK(std::holds_alternative<key_released>(r.only<submit_record>().record));
 }
 
+// Guards against a key that stays unsettled although its request's fate became known too late for
+// the caller.
+BOOST_AUTO_TEST_CASE(lateMessagesSettleTheKey)
+{
+    one_router r(1);
+    const auto lateDispatch = [&](std::uint64_t caller) {
+        r.request(caller, "/pay", "k" + std::to_string(caller));
+        r.settle(r.only<submit_record>().token, true, true, std::nullopt);
+        const auto sent = r.sent<dispatch>();
+        r.router.tick(at(1000));
+        r.expectAnswer(outcome_kind::unknown, 504, "deadline_passed");
+        return sent;
+    };
+    auto sent = lateDispatch(1);
+    r.deliver(one_router::reply(sent, "paid"), 1100);
+    const auto finished = r.only<submit_record>();
+    BOOST_TEST(std::get<key_finished>(finished.record).body == "paid");
+    sent = lateDispatch(2);
+    r.deliver(cancel_result{ .id = sent.id, .outcome = cancel_outcome::not_started }, 1100);
+    const auto released = r.only<submit_record>();
+    BOOST_TEST(std::get<key_released>(released.record).key == "k2");
+    r.deliver(one_router::reply(sent, "paid"), 1200);
+    BOOST_TEST(r.silent());
+}
+
 // Guards against an endpoint that leaves getting new work from a stale view.
 BOOST_AUTO_TEST_CASE(drainingEndpointIsNotChosen)
 {
--- a/src/librole/router_endpoints.cpp
+++ b/src/librole/router_endpoints.cpp
@@ -4,6 +4,10 @@
 
 void request_router::state::onEndpoint(instant now, const endpoint_info &endpoint)
 {
+    if (endpoint.templateName.empty()) {
+        onEndpointGone(now, endpoint.connection); // an agent without a service
+        return;
+    }
     auto &service = serviceOf(endpoint.templateName);
     const auto served = byConnection.find(endpoint.connection);
     if (served != byConnection.end() && served->second != &service)
--- a/src/librole/router_messages.cpp
+++ b/src/librole/router_messages.cpp
@@ -23,6 +23,8 @@
     const auto [request, attempt] = findAttempt(content.id, content.attempt);
     if (!request) {
         count("late_answers_total", "answer");
+        if (content.id.entry == options.entry && detail::isWhole(content))
+            keys.onLateAnswer(content.id.number, content.attempt, content.content, actions);
         return;
     }
     if (attempt->state == detail::attempt_state::not_run) {
@@ -63,6 +65,8 @@
     const auto [request, attempt] = findAttempt(content.id, content.attempt);
     if (!request) {
         count("late_answers_total", "refusal");
+        if (content.id.entry == options.entry && provesNotRun(content.reason))
+            keys.onLateProof(content.id.number, content.attempt, actions);
         return;
     }
     count("refusals_total", toString(content.reason));
@@ -88,6 +92,8 @@
     const auto [request, attempt] = findAttempt(content.id, content.attempt);
     if (!request) {
         count("late_answers_total", "cancel_result");
+        if (content.id.entry == options.entry && content.outcome == cancel_outcome::not_started)
+            keys.onLateProof(content.id.number, content.attempt, actions);
         return;
     }
     if (!attempt->isOpen())
--- a/src/librole/router_outcomes.cpp
+++ b/src/librole/router_outcomes.cpp
@@ -9,7 +9,8 @@
 {
     const auto &request = pending.at(number);
     if (request.holdsKey)
-        keys.submitFinished(number, request.caller, content, actions);
+        keys.submitFinished(number, request.caller.request.account, request.caller.idempotencyKey,
+                            content, actions);
     actions.emplace_back(observe_latency{ .name = "request_latency",
                                           .label = request.caller.request.templateName,
                                           .value = now - request.arrived });
@@ -35,7 +36,11 @@
 void request_router::state::finishUnknown(instant now, std::uint64_t number,
                                           std::string_view reason)
 {
+    const auto &request = pending.at(number);
     const auto text = detail::outcomeText(outcome_kind::unknown, reason);
+    if (request.holdsKey)
+        keys.keepUnsettled(now, number, static_cast<std::uint32_t>(request.attempts.size()),
+                           request.caller);
     count("unknown_total", reason);
     finish(now, number,
            { .outcome = outcome_kind::unknown,
