--- a/src/librole/request_router_test.cpp
+++ b/src/librole/request_router_test.cpp
@@ -293,8 +293,8 @@
     r.settle(claim.token, true, true, std::nullopt);
     const auto sent = r.sent<dispatch>();
     r.deliver(one_router::reply(sent, "paid"));
-    const auto &finished = std::get<key_finished>(r.only<submit_record>().record);
-    BOOST_TEST(finished.body == "paid");
+    const auto finished = r.only<submit_record>();
+    BOOST_TEST(std::get<key_finished>(finished.record).body == "paid");
     r.request(2, "/pay", "k2");
     r.settle(r.only<submit_record>().token, false, false, std::nullopt);
     r.expectAnswer(outcome_kind::not_run, 503, "log_unavailable");
