--- a/src/include/plantainpitch/role/task_dispatcher.h
+++ b/src/include/plantainpitch/role/task_dispatcher.h
@@ -4,6 +4,7 @@
 #include "plantainpitch/model/instant.h"
 #include "plantainpitch/policy/batch_order.h"
 #include "plantainpitch/policy/placement_policy.h"
+#include "plantainpitch/policy/weighting.h"
 #include "plantainpitch/role/action.h"
 #include "plantainpitch/role/message/proposal_refused.h"
 #include "plantainpitch/role/record_outcome.h"
@@ -26,6 +27,7 @@
     duration proposalTimeout = std::chrono::seconds(2);
     double clockDriftRatio = 0.02;
     duration revocationMargin = std::chrono::milliseconds(500);
+    weighting goal = weighting::tail_latency;
 };
 
 /// Proposes unplaced tasks to agents and revokes claims of lost VMs. An optimisation only: two
@@ -36,7 +38,7 @@
     task_dispatcher(task_dispatcher_options options, std::uint64_t seed);
     ~task_dispatcher();
 
-    /// Replaces the baselines; neither may be null.
+    /// Replaces slack_order and interference_placement; neither may be null.
     void setPolicies(std::unique_ptr<batch_order> order,
                      std::unique_ptr<placement_policy> placement);
     /// Most tasks of each team at once; teams that are not named have no quota.
--- a/src/librole/task_dispatcher.cpp
+++ b/src/librole/task_dispatcher.cpp
@@ -107,7 +107,12 @@
     if (const auto *released = std::get_if<task_released>(&record)) {
         if (countsAsFailure(released->reason))
             m_state->noteFailure(now, *before, *task);
+        else if (released->reason == release_reason::evicted)
+            m_state->learnEviction(before->vm, before->templateName);
     } else if (std::holds_alternative<task_finished>(record)) {
+        // A claim that was read from a snapshot is older than its reading.
+        if (before->sinceClaim)
+            m_state->sizes.onFinished(before->templateName, (now - before->readAt).count() / 1000);
         m_state->health.onSuccess(before->vm);
     }
 }
--- a/src/librole/task_dispatcher_state.cpp
+++ b/src/librole/task_dispatcher_state.cpp
@@ -2,8 +2,8 @@
 
 #include "lease_calculator.h"
 
-#include "plantainpitch/policy/first_come_order.h"
-#include "plantainpitch/policy/first_fit_placement.h"
+#include "plantainpitch/policy/interference_placement.h"
+#include "plantainpitch/policy/slack_order.h"
 #include "plantainpitch/role/rendezvous_hash.h"
 
 #include <algorithm>
@@ -20,14 +20,17 @@
 // are not likely to find any.
 constexpr std::size_t maxMissesPerJob = 4;
 
+// Latency, as a share of the target, that an eviction stands for.
+constexpr double evictedLatencyRatio = 1.1;
+
 } // namespace
 
 task_dispatcher::state::state(task_dispatcher_options given, std::uint64_t seed)
     : options(std::move(given))
     , entries({ options.entry })
     , records(actions)
-    , order(std::make_unique<first_come_order>())
-    , placement(std::make_unique<first_fit_placement>())
+    , order(std::make_unique<slack_order>(sizes))
+    , placement(std::make_unique<interference_placement>(interference, options.goal))
 {
     (void)seed;
 }
@@ -235,6 +238,21 @@
                        .fields = { { "vm", claim.vm }, { "task", task.toString() } } });
 }
 
+// Entries see no latency samples of a VM, but an agent evicts only what disturbs its service.
+void task_dispatcher::state::learnEviction(const std::string &vm, const std::string &templateName)
+{
+    const placement_vm *known = vms.placement(vm);
+    if (known == nullptr || known->serviceTemplate.empty())
+        return;
+    auto batch = claims.templatesOn(vm);
+    ++batch[templateName];
+    interference.observe({ .service = known->serviceTemplate,
+                           .load = known->serviceLoad,
+                           .batch = batch,
+                           .batchShare = 1,
+                           .latencyRatio = evictedLatencyRatio });
+}
+
 void task_dispatcher::state::giveBack(const proposal_table::proposal &proposal)
 {
     if (placement_vm *vm = vms.placement(proposal.vm))
--- a/src/librole/task_dispatcher_state.h
+++ b/src/librole/task_dispatcher_state.h
@@ -8,6 +8,8 @@
 #include "vm_table.h"
 
 #include "plantainpitch/policy/batch_order.h"
+#include "plantainpitch/policy/learned_interference.h"
+#include "plantainpitch/policy/learned_size.h"
 #include "plantainpitch/policy/placement_policy.h"
 #include "plantainpitch/role/task_dispatcher.h"
 
@@ -47,6 +49,7 @@
     [[nodiscard]] std::string reasonOf(const job_state &job, const task_id &task,
                                        const task_state &task_) const;
     void noteFailure(instant now, const claim_index::claim &claim, const task_id &task);
+    void learnEviction(const std::string &vm, const std::string &templateName);
     void giveBack(const proposal_table::proposal &proposal);
     void count(std::string name, std::string label = {}, std::uint64_t amount = 1);
 
@@ -60,6 +63,8 @@
     vm_health health;
     vm_table vms;
     team_usage_map teams;
+    learned_size sizes;
+    learned_interference interference;
     std::unique_ptr<batch_order> order;
     std::unique_ptr<placement_policy> placement;
     bool dirty = true;
--- a/src/librole/vm_table.cpp
+++ b/src/librole/vm_table.cpp
@@ -10,6 +10,9 @@
 // Agents need a moment to connect to an entry that has just started.
 constexpr duration neverSeenLostAfter = std::chrono::seconds(10);
 
+// Slots of an endpoint; a vm_info does not tell them.
+constexpr double usualSlots = 8;
+
 resources atLeastZero(const resources &amount)
 {
     return { .processorsMilli = std::max<std::int64_t>(amount.processorsMilli, 0),
@@ -35,6 +38,7 @@
     known->capacity = info.capacity;
     known->available = atLeastZero(info.available - promised);
     known->serviceTemplate = info.templateName;
+    known->serviceLoad = std::min(1.0, info.runningRequests / usualSlots);
 }
 
 void vm_table::remove(instant now, const std::string &vm)
