Throttle down only for samples half-way between goal and target

Cause: the share limit aims at the goal, so jitter put half of the samples above it and each lowered the share.

--- a/src/libpolicy/lagged_throttle.cpp
+++ b/src/libpolicy/lagged_throttle.cpp
@@ -35,7 +35,8 @@
 {
     const double share = largestShare(sample.fromUs, sample.toUs);
     const double goal = latencyGoal(m_options.goal);
-    if (sample.latencyRatio > goal) {
+    // The share limit aims at the goal, so half of the samples are above it by jitter alone.
+    if (sample.latencyRatio > (goal + 1) / 2) {
         // A share that has been lowered since is not lowered again for the same sample.
         m_feedbackLimit =
                 std::min(m_feedbackLimit, std::max(share * lowerFactor, m_options.minShare));
--- a/src/plantain-bench/colocation_bench.cpp
+++ b/src/plantain-bench/colocation_bench.cpp
@@ -65,7 +65,7 @@
 {
     out << std::left << std::setw(58) << measure << std::right << std::fixed << std::setprecision(4)
         << std::setw(12) << baseline << std::setw(12) << policy << "  " << std::left
-        << std::setw(22) << target << (met ? "met" : "missed") << '\n';
+        << std::setw(24) << target << (met ? "met" : "missed") << '\n';
 }
 
 void compare(std::ostream &out, weighting goal, const std::string &name)
