--- a/src/librole/task_dispatcher_state.cpp
+++ b/src/librole/task_dispatcher_state.cpp
@@ -191,7 +191,7 @@
 }
 
 bool task_dispatcher::state::propose(instant now, const job_state &job, const task_id &task,
-                                     const task_state &task_)
+                                     const task_state &known)
 {
     const placement_request request{ .job = task.job,
                                      .templateName = job.description.templateName,
@@ -211,15 +211,15 @@
     health.onProposed(now, vm.vm);
     proposals.add(
             task,
-            { .vm = vm.vm, .base = task_.lastChange, .amount = request.needed, .sentAt = now });
-    const bool revoking = task_.phase == task_phase::revoking;
-    const duration age = revoking ? revocations.age(now, task, task_.lastChange) : duration::zero();
+            { .vm = vm.vm, .base = known.lastChange, .amount = request.needed, .sentAt = now });
+    const bool revoking = known.phase == task_phase::revoking;
+    const duration age = revoking ? revocations.age(now, task, known.lastChange) : duration::zero();
     actions.emplace_back(
             send_message{ .connection = vms.find(vm.vm)->connection,
                           .content = task_proposal{ .task = task,
                                                     .job = job.description,
-                                                    .base = task_.lastChange,
-                                                    .checkpoint = task_.checkpoint,
+                                                    .base = known.lastChange,
+                                                    .checkpoint = known.checkpoint,
                                                     .afterRevocation = revoking,
                                                     .revocationAgeUs = age.count() } });
     count("proposals_total");
--- a/src/librole/task_dispatcher_state.h
+++ b/src/librole/task_dispatcher_state.h
@@ -42,12 +42,12 @@
     bool examine(instant now, const job_state &job, const task_id &task, const task_state &state);
     /// Places up to \a most tasks; returns how many.
     std::size_t place(instant now, const cell_state &cell, const job_work &work, std::size_t most);
-    bool propose(instant now, const job_state &job, const task_id &task, const task_state &task_);
+    bool propose(instant now, const job_state &job, const task_id &task, const task_state &known);
     [[nodiscard]] std::size_t tasksInRack(const std::string &job, const std::string &rack) const;
     [[nodiscard]] bool responsible(const std::string &job) const;
     [[nodiscard]] duration waitAfterRevocation(const job_submitted &job) const;
     [[nodiscard]] std::string reasonOf(const job_state &job, const task_id &task,
-                                       const task_state &task_) const;
+                                       const task_state &known) const;
     void noteFailure(instant now, const claim_index::claim &claim, const task_id &task);
     void learnEviction(const std::string &vm, const std::string &templateName);
     void giveBack(const proposal_table::proposal &proposal);
--- a/src/librole/task_explanation.cpp
+++ b/src/librole/task_explanation.cpp
@@ -8,12 +8,12 @@
 namespace plantainpitch {
 
 std::string task_dispatcher::state::reasonOf(const job_state &job, const task_id &task,
-                                             const task_state &task_) const
+                                             const task_state &known) const
 {
-    if (isFinal(task_.phase))
-        return task_.result;
-    if (task_.phase == task_phase::claimed)
-        return "held by " + task_.vm;
+    if (isFinal(known.phase))
+        return known.result;
+    if (known.phase == task_phase::claimed)
+        return "held by " + known.vm;
     if (const std::string owner = rendezvousOwner(entries, task.job); owner != options.entry)
         return "entry " + owner + " places the tasks of this job";
     if (job.cancelled)
@@ -22,8 +22,8 @@
         return "proposed to " + sent->vm;
     if (const std::string never = vms.whyNever(job.description.taskResources); !never.empty())
         return "cannot run: " + never;
-    if (task_.phase == task_phase::revoking)
-        return "revoked; the authority of " + task_.vm + " may not have ended";
+    if (known.phase == task_phase::revoking)
+        return "revoked; the authority of " + known.vm + " may not have ended";
     if (const std::string refusal = proposals.lastRefusal(task); !refusal.empty())
         return "last proposal refused: " + refusal;
     const auto quota = teams.find(job.description.team);
--- a/src/librole/task_holder_random_test.cpp
+++ b/src/librole/task_holder_random_test.cpp
@@ -16,7 +16,7 @@
 constexpr std::int64_t second = 1'000'000;
 constexpr std::int64_t term = 4 * second;
 
-/// Three VMs, a log and one mover, in real time `t` (us) with clocks that differ by 1 %.
+/// Three VMs, a log and one mover, in real time (us) with clocks that differ by 1 %.
 class world
 {
 public:
@@ -39,9 +39,9 @@
     void run(std::int64_t until, bool faults)
     {
         m_faults = faults;
-        while (t < until) {
-            t += 20'000;
-            while (!m_events.empty() && m_events.begin()->first <= t) {
+        while (m_now < until) {
+            m_now += 20'000;
+            while (!m_events.empty() && m_events.begin()->first <= m_now) {
                 auto handler = m_events.extract(m_events.begin());
                 handler.mapped()();
                 observe();
@@ -98,7 +98,8 @@
     }
     [[nodiscard]] instant agentNow(const vm &machine) const
     {
-        return instant(duration(static_cast<std::int64_t>(static_cast<double>(t) * machine.rate)));
+        return instant(
+                duration(static_cast<std::int64_t>(static_cast<double>(m_now) * machine.rate)));
     }
     void at(std::int64_t when, std::function<void()> handler)
     {
@@ -134,11 +135,11 @@
     void toAgent(vm &machine, const std::function<void(task_holder &)> &handler)
     {
         const std::uint64_t process = machine.process;
-        auto run = [this, &machine, handler, process] {
+        auto run = [&machine, handler, process] {
             if (machine.process == process)
                 handler(*machine.holder);
         };
-        if (t < machine.pausedUntil)
+        if (m_now < machine.pausedUntil)
             machine.backlog.emplace_back(run);
         else
             run();
@@ -149,11 +150,11 @@
         machine.worker.advance(static_cast<std::int64_t>(20'000 * machine.workerRate));
         for (; machine.seenStarts < machine.worker.starts.size(); ++machine.seenStarts)
             checkStart(machine.worker.starts[machine.seenStarts]);
-        if (t < machine.pausedUntil)
+        if (m_now < machine.pausedUntil)
             return;
         for (auto &handler : std::exchange(machine.backlog, {}))
             handler();
-        if (machine.reconnectAt != 0 && t >= machine.reconnectAt)
+        if (machine.reconnectAt != 0 && m_now >= machine.reconnectAt)
             connect(machine);
         machine.holder->tick(agentNow(machine));
         for (const action &output : machine.holder->takeActions())
@@ -166,7 +167,7 @@
             callWorker(machine, *call);
         } else if (const auto *sent = std::get_if<send_message>(&output)) {
             if (lost()) // the connection breaks with it
-                machine.reconnectAt = t + between(0, 2 * second);
+                machine.reconnectAt = m_now + between(0, 2 * second);
             else if (const auto *submit = std::get_if<record_submit>(&sent->content))
                 submitRecord(machine, *submit);
             else if (const auto *request = std::get_if<authority_request>(&sent->content))
@@ -180,17 +181,17 @@
             return;
         const std::string boot = machine.worker.boot;
         const std::uint64_t process = machine.process;
-        const std::int64_t sentAt = t;
+        const std::int64_t sentAt = m_now;
         const std::int64_t pausedBefore = machine.pausedTotal;
-        at(t + delay(), [=, this, &machine] {
+        at(m_now + delay(), [=, this, &machine] {
             // A call reaches a later boot only if its process has not closed the connection.
-            const std::int64_t running = t - sentAt - (machine.pausedTotal - pausedBefore);
+            const std::int64_t running = m_now - sentAt - (machine.pausedTotal - pausedBefore);
             if (machine.worker.boot != boot && (machine.process != process || running > 2 * second))
                 return;
             const worker_answer answer = machine.worker.execute(call);
             if (lost())
                 return;
-            at(t + delay(), [=, this, &machine] {
+            at(m_now + delay(), [=, this, &machine] {
                 if (machine.process != process)
                     return;
                 toAgent(machine, [=, this, &machine](task_holder &holder) {
@@ -203,7 +204,7 @@
     void submitRecord(vm &machine, const record_submit &submit)
     {
         const std::uint64_t process = machine.process;
-        at(t + delay(), [=, this, &machine] {
+        at(m_now + delay(), [=, this, &machine] {
             record_settled settled;
             if (m_faults && chance(0.03))
                 settled = { .ticket = submit.ticket, .reason = "log_unavailable" };
@@ -218,7 +219,7 @@
     void askAuthority(vm &machine, const authority_request &request)
     {
         const std::uint64_t process = machine.process;
-        at(t + delay(), [=, this, &machine] {
+        at(m_now + delay(), [=, this, &machine] {
             const authority_grant grant = m_log.grant(request);
             answerAgent(machine, process, [=, this, &machine](task_holder &holder) {
                 holder.onAuthorityGrant(agentNow(machine), grant);
@@ -230,10 +231,10 @@
                      const std::function<void(task_holder &)> &handler)
     {
         if (lost()) {
-            machine.reconnectAt = t + between(0, 2 * second);
+            machine.reconnectAt = m_now + between(0, 2 * second);
             return;
         }
-        at(t + delay(), [=, this, &machine] {
+        at(m_now + delay(), [=, this, &machine] {
             if (machine.process == process)
                 toAgent(machine, handler);
         });
@@ -244,7 +245,7 @@
     {
         const task_id task{ .job = "job", .index = static_cast<std::uint32_t>(between(0, 5)) };
         const auto &entry = m_log.tasks[task];
-        const std::int64_t age = t - m_revokedAt[task];
+        const std::int64_t age = m_now - m_revokedAt[task];
         const bool revoking = entry.phase == "revoking";
         if (entry.phase != "pending" && !(revoking && age >= term * 102 / 100 + second / 2))
             return;
@@ -260,7 +261,7 @@
                                       .revocationAgeUs = revoking ? age : 0 };
         vm &machine = m_vms[between(0, 2)];
         const std::uint64_t process = machine.process;
-        at(t + delay(), [=, this, &machine] {
+        at(m_now + delay(), [=, this, &machine] {
             if (machine.process != process)
                 return;
             toAgent(machine, [=, this, &machine](task_holder &holder) {
@@ -274,15 +275,15 @@
         vm &machine = m_vms[between(0, 2)];
         if (chance(0.002)) {
             const std::int64_t length = between(0, 3 * term);
-            machine.pausedTotal += std::max<std::int64_t>(0, t + length - machine.pausedUntil);
-            machine.pausedUntil = std::max(machine.pausedUntil, t + length);
+            machine.pausedTotal += std::max<std::int64_t>(0, m_now + length - machine.pausedUntil);
+            machine.pausedUntil = std::max(machine.pausedUntil, m_now + length);
         }
         if (chance(0.001))
             machine.worker.reboot("boot-" + std::to_string(between(2, 1'000'000'000)));
         if (chance(0.001))
             restartAgent(machine);
         if (chance(0.004))
-            machine.reconnectAt = t + 1;
+            machine.reconnectAt = m_now + 1;
         if (chance(0.01))
             machine.holder->evict(agentNow(machine), { .job = "job", .index = 1 });
         if (chance(0.006))
@@ -295,7 +296,7 @@
         if (m_log.append(0, record).accepted) {
             ++revocations;
             // The mover reads the revocation after it was appended.
-            m_revokedAt[task] = t + between(0, second);
+            m_revokedAt[task] = m_now + between(0, second);
         }
     }
 
@@ -338,11 +339,11 @@
     void fail(const std::string &what)
     {
         if (m_violation.empty())
-            m_violation = what + " at " + std::to_string(t) + " us; " + describe();
+            m_violation = what + " at " + std::to_string(m_now) + " us; " + describe();
     }
 
     std::mt19937_64 m_random;
-    std::int64_t t = 0;
+    std::int64_t m_now = 0;
     bool m_faults = false;
     std::multimap<std::int64_t, std::function<void()>> m_events;
     std::array<vm, 3> m_vms;
