--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@ctest --test-dir $(BUILD)-sanitize --output-on-failure --timeout 600
 
+demo: build
+	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/demo.py
+
 # A fixed seed and count, so that a run can be repeated and has an end.
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
@@ -35,7 +38,9 @@
 fuzz: packages
 	@cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DPLANTAIN_FUZZ=ON >/dev/null
 	@cmake --build $(BUILD)-fuzz -j $(JOBS) --target wire_fuzz
-	@$(BUILD)-fuzz/wire_fuzz -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=8192 -verbosity=0
+	@$(BUILD)-fuzz/wire_fuzz -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=8192 \
+		-artifact_prefix=$(BUILD)-fuzz/ >$(BUILD)-fuzz/wire_fuzz.log 2>&1 \
+		|| { tail -n 50 $(BUILD)-fuzz/wire_fuzz.log; exit 1; }
 	@echo "wire_fuzz: $(FUZZ_RUNS) runs with seed $(FUZZ_SEED) passed"
 
 clean:
