--- a/src/include/plantainpitch/runtime/peer_connection.h
+++ b/src/include/plantainpitch/runtime/peer_connection.h
@@ -63,7 +63,8 @@
 
     // Used on the strand only.
     wire::frame_reader m_reader;
-    std::array<char, 64UL * 1024> m_chunk{};
+    // Small: an entry has one connection to every agent of its region, about 4,000 of them.
+    std::array<char, 8UL * 1024> m_chunk{};
     bool m_opened = false;
     bool m_finished = false;
     std::chrono::steady_clock::time_point m_started;
--- a/src/libwire/frame_reader.cpp
+++ b/src/libwire/frame_reader.cpp
@@ -7,6 +7,12 @@
 
 namespace plantainpitch::wire {
 
+namespace {
+
+constexpr std::size_t keptBytes = 64UL * 1024;
+
+} // namespace
+
 void frame_reader::append(std::string_view bytes)
 {
     if (m_start > 0) {
@@ -32,6 +38,11 @@
         return std::nullopt;
     std::string frame = m_buffer.substr(m_start + prefixBytes, length);
     m_start += prefixBytes + length;
+    // A single large frame must not hold its memory for the life of a connection.
+    if (pendingBytes() == 0 && m_buffer.capacity() > keptBytes) {
+        m_buffer = {};
+        m_start = 0;
+    }
     return frame;
 }
 
