--- a/src/libwire/sample_values_test.cpp
+++ b/src/libwire/sample_values_test.cpp
@@ -69,7 +69,8 @@
              record_submit{ 5, sampleRecords()[5] },
              record_settled{ 5, at(6), true, "r" },
              authority_request{ 1, "vm", { held } },
-             authority_grant{ 1, 2, { { task, at(3), withdrawal::cancelled } }, { { held, 4000 } } },
+             authority_grant{
+                     1, 2, { { task, at(3), withdrawal::cancelled } }, { { held, 4000 } } },
              drain_request{ "why" },
              peer_digest{ "n", 1, 2, true, true },
              peer_pull{ "config", 4, true },
--- a/testsuite/standin/support/target.cpp
+++ b/testsuite/standin/support/target.cpp
@@ -40,8 +40,8 @@
 target::target(const std::string &text)
 {
     const auto question = text.find('?');
-    for (const auto &part : split(text.substr(0, question), '/'))
-        segments.push_back(decode(part));
+    // Decoded first: the id of a task may come as "job/0" or as one segment "job%2F0".
+    segments = split(decode(text.substr(0, question)), '/');
     if (question == std::string::npos)
         return;
     for (const auto &part : split(text.substr(question + 1), '&')) {
--- a/testsuite/standin_test.py
+++ b/testsuite/standin_test.py
@@ -62,7 +62,7 @@
         cluster.wait_until(
             lambda: self.task_state(port, "j/0")["state"] == "finished", 5, "task finished")
         self.assertEqual(self.task_state(port, "j/0")["result"], "done progress_ms=300")
-        self.assertEqual(self.put(port, "j/0", command="run_ms=300")[0], 409)
+        self.assertEqual(self.put(port, "j%2F0", command="run_ms=300")[0], 409)
         self.assertEqual(self.put(port, "j/0", attempt=2)[0], 200)
 
     def test_worker_ends_tasks_at_their_lease(self):
