Destroy connections before the io_context that their timers use

The table of connections outlived the io_context, so that the end of plantain-entry wrote to freed memory and could abort after a graceful stop. valgrind showed the access in test_rolling_restart_cuts_no_request.

--- a/src/include/plantainpitch/runtime/shell_core.h
+++ b/src/include/plantainpitch/runtime/shell_core.h
@@ -44,8 +44,10 @@
     system_clock_boottime m_time;
     metrics m_metrics;
     logging m_log;
-    connection_table m_connections;
     process_loop m_loop;
+    // After the loop: connections left at the end have timers of the loop's io_context, which must
+    // be there when they are destroyed.
+    connection_table m_connections;
 };
 
 /// Random number for an incarnation or a seed; never 0.
