--- a/src/librole/held_task_machine.cpp
+++ b/src/librole/held_task_machine.cpp
@@ -215,12 +215,13 @@
 
 void held_task_machine::stepForget(instant now)
 {
-    if (m_mayBeListed && m_view == view::running)
+    if (!m_mayBeListed)
+        m_phase = phase::done;
+    else if (m_view == view::running)
         call(now, worker_operation::stop);
-    else if (m_mayBeListed)
+    else if (m_lateStartUntilUs == 0
+             && now >= m_quietAt) // forgotten, the attempt could start again
         call(now, worker_operation::forget);
-    else
-        m_phase = phase::done;
 }
 
 void held_task_machine::submitClaim(instant now)
--- a/src/librole/task_holder_random_test.cpp
+++ b/src/librole/task_holder_random_test.cpp
@@ -31,6 +31,7 @@
             machine.worker.lengthMs = 12'000;
             restartAgent(machine);
         }
+        m_log.termMs = seed % 2 == 0 ? term / 1000 : 0;
         for (std::uint32_t i = 0; i < 6; ++i)
             m_log.add({ .job = "job", .index = i });
     }
--- a/src/librole/task_holder_state.cpp
+++ b/src/librole/task_holder_state.cpp
@@ -32,7 +32,7 @@
     for (const auto &[claim, termMs] : grant.unlisted) {
         if (machines.contains(claim.task))
             continue;
-        const duration term = termMs > 0 ? std::chrono::milliseconds(termMs) : options.longestTerm;
+        const duration term = std::chrono::milliseconds(termMs);
         const auto listed = strays.take(claim);
         if (listed)
             ledger.observe(claim.task, listed->reserved);
@@ -138,6 +138,7 @@
         machine.step(now);
     }
     strays.step(now, worker);
+    ledger.check();
     settleReservations();
 }
 
