--- a/src/liblog/log_pipeline.cpp
+++ b/src/liblog/log_pipeline.cpp
@@ -1,6 +1,6 @@
 #include "plantainpitch/log/log_pipeline.h"
 
-#include "record_size.h"
+#include "plantainpitch/log/record_size.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/liblog/record_size.cpp
+++ b/src/liblog/record_size.cpp
@@ -1,4 +1,4 @@
-#include "record_size.h"
+#include "plantainpitch/log/record_size.h"
 
 namespace plantainpitch::detail {
 
--- a/src/librole/entry_control_streams.cpp
+++ b/src/librole/entry_control_streams.cpp
@@ -12,6 +12,23 @@
 constexpr duration snapshotInterval = std::chrono::minutes(10);
 constexpr duration snapshotCheckInterval = std::chrono::seconds(1);
 
+/// A message between processes holds at most 1 MB.
+constexpr std::size_t maxUpdateBytes = 512UL * 1024;
+
+/// Cuts the update where it gets too large; the next one goes on from its revision.
+void limitUpdate(config_update &update)
+{
+    std::size_t bytes = 0;
+    for (std::size_t i = 0; i < update.entities.size(); ++i) {
+        bytes += update.entities[i].name.size() + update.entities[i].document.size();
+        if (bytes <= maxUpdateBytes || i == 0)
+            continue;
+        update.entities.resize(i);
+        update.revision = update.entities.back().revision;
+        return;
+    }
+}
+
 } // namespace
 
 void entry_control::followStreams()
@@ -125,9 +142,10 @@
     for (auto &[connection, agent] : m_agents.all()) {
         if (agent.configSent >= revision)
             continue;
-        emit(send_message{ connection,
-                           config_update{ revision, config().changedSince(agent.configSent) } });
-        agent.configSent = revision;
+        config_update update = { revision, config().changedSince(agent.configSent) };
+        limitUpdate(update);
+        agent.configSent = update.revision;
+        emit(send_message{ connection, std::move(update) });
     }
 }
 
@@ -157,6 +175,8 @@
     for (const auto &[connection, peer] : m_peers.all()) {
         if (!peer.digest.ready)
             continue;
+        m_config.onPeerNext(peer.digest.configNext);
+        m_cell.onPeerNext(peer.digest.cellNext);
         if (m_config.unavailable() && peer.digest.configNext > config().nextOffset())
             emit(send_message{ connection,
                                peer_pull{ m_config.stream(), config().nextOffset(), false } });
@@ -168,27 +188,22 @@
 
 void entry_control::onPeerPull(connection_id connection, const peer_pull &pull)
 {
+    std::vector<peer_records> answers;
     if (pull.stream == m_config.stream() && m_config.complete())
-        emit(send_message{ connection, m_config.makeRecords(pull) });
+        answers = m_config.makeRecords(pull);
     else if (pull.stream == m_cell.stream() && m_cell.complete())
-        emit(send_message{ connection, m_cell.makeRecords(pull) });
+        answers = m_cell.makeRecords(pull);
+    for (peer_records &answer : answers)
+        emit(send_message{ connection, std::move(answer) });
 }
 
 void entry_control::onPeerRecords(const peer_records &records)
 {
     if (records.stream == m_config.stream() && m_config.unavailable()) {
-        const bool reset = m_config.applyPeerRecords(
-                records, [this](const auto &record, const auto &result, auto ticket) {
-                    onConfigFolded(record, result, ticket);
-                });
-        if (reset)
+        if (m_config.applyPeerRecords(m_now, records))
             publishAllTemplates();
     } else if (records.stream == m_cell.stream() && m_cell.unavailable()) {
-        const bool reset = m_cell.applyPeerRecords(
-                records, [this](const auto &record, const auto &result, auto ticket) {
-                    onCellFolded(record, result, ticket);
-                });
-        if (reset)
+        if (m_cell.applyPeerRecords(m_now, records))
             m_dispatcher.onReset(m_now, cell());
     }
 }
--- a/src/librole/stream_follower.h
+++ b/src/librole/stream_follower.h
@@ -2,6 +2,7 @@
 
 #include "plantainpitch/log/fold_result.h"
 #include "plantainpitch/log/log_pipeline.h"
+#include "plantainpitch/log/record_size.h"
 #include "plantainpitch/log/snapshot_reader.h"
 #include "plantainpitch/log/snapshot_writer.h"
 #include "plantainpitch/role/action.h"
@@ -20,6 +21,9 @@
 /// Limit of the records that an entry keeps for its peers, besides a snapshot.
 constexpr std::size_t maxTailRecords = 50'000;
 
+/// A message between processes holds at most 1 MB.
+constexpr std::size_t maxPeerMessageBytes = 512UL * 1024;
+
 /// A stream of the log with the state folded from it. \a State is config_state or cell_state.
 template <typename State>
 class stream_follower
@@ -31,8 +35,7 @@
 
     stream_follower(log_pipeline_options options, std::uint64_t seed)
         : m_stream(options.stream)
-        , m_producer(options.producer)
-        , m_pipeline(options, seed)
+            , m_pipeline(options, seed)
     {}
 
     std::optional<std::uint64_t> submit(instant now, log_record record)
@@ -106,45 +109,56 @@
     }
 
     /// What a peer lacks: the batches since its offset, or a snapshot if those are not at hand.
-    [[nodiscard]] peer_records makeRecords(const peer_pull &pull) const
+    /// Several messages if need be; what one pull does not cover, the peer's next pull does.
+    [[nodiscard]] std::vector<peer_records> makeRecords(const peer_pull &pull) const
     {
+        if (pull.fromOffset < m_tailFrom)
+            return makeSnapshotRecords();
         peer_records result{ .stream = m_stream };
-        if (pull.fromOffset < m_tailFrom) {
-            result.hasSnapshot = true;
-            result.snapshotThrough = m_state.nextOffset() - 1;
-            result.snapshot = m_state.saveSnapshot();
-            return result;
-        }
-        for (const stored_batch &batch : m_tail) {
-            if (batch.offset >= pull.fromOffset)
-                result.batches.push_back(batch);
+        std::size_t bytes = 0;
+        for (const stored_batch &stored : m_tail) {
+            if (stored.offset < pull.fromOffset)
+                continue;
+            for (const log_record &record : stored.batch.records)
+                bytes += detail::approximateBytes(record);
+            if (bytes > maxPeerMessageBytes && !result.batches.empty())
+                break;
+            result.batches.push_back(stored);
         }
-        return result;
+        return { result };
     }
 
-    /// Takes what a peer has read beyond this process. Returns true if the state was replaced.
-    bool applyPeerRecords(const peer_records &records, const record_callback &onRecord)
+    /// Takes what a peer has read beyond this process. Returns true if the state was replaced; the
+    /// batches come out of fold().
+    bool applyPeerRecords(instant now, const peer_records &records)
     {
-        bool reset = false;
-        if (records.hasSnapshot && records.snapshotThrough >= m_state.nextOffset()) {
-            m_state.loadSnapshot(records.snapshot, records.snapshotThrough);
-            restartTail();
-            m_collecting = false;
-            reset = true;
+        if (!records.hasSnapshot) {
+            if (!m_collecting)
+                m_pipeline.onPeerBatches(now, records.batches);
+            return false;
         }
-        if (m_collecting)
-            return reset;
         for (const stored_batch &stored : records.batches) {
-            if (stored.offset < m_state.nextOffset())
-                continue;
-            // An own batch must come through the pipeline, which knows its tickets.
-            if (stored.batch.producer == m_producer)
-                break;
-            foldBatch({ .stored = stored, .tickets = {} }, onRecord);
+            for (const log_record &record : stored.batch.records) {
+                if (const auto *part = std::get_if<snapshot_part>(&record))
+                    m_peerSnapshots.add(*part);
+            }
         }
-        m_loadedFromPeer = true;
+        const snapshot *complete = m_peerSnapshots.newest();
+        if (!complete || complete->through < m_state.nextOffset())
+            return false;
+        m_state.loadSnapshot(complete->data, complete->through);
+        m_peerSnapshots = snapshot_reader();
+        m_collecting = false;
+        restartTail();
         m_pipeline.resumeAt(m_state.nextOffset());
-        return reset;
+        return true;
+    }
+
+    /// A ready peer has read up to \a next.
+    void onPeerNext(std::uint64_t next)
+    {
+        if (unavailable() && !m_collecting && next > 0 && m_state.nextOffset() >= next)
+            m_loadedFromPeer = true;
     }
 
 private:
@@ -194,6 +208,22 @@
         countForSnapshot(records);
     }
 
+    [[nodiscard]] std::vector<peer_records> makeSnapshotRecords() const
+    {
+        std::vector<peer_records> result;
+        const std::uint64_t through = m_state.nextOffset() - 1;
+        for (snapshot_writer writer(through, m_state.saveSnapshot()); !writer.done();) {
+            stored_batch carrier{ .offset = through, .batch = {} };
+            carrier.batch.records.emplace_back(writer.next());
+            result.push_back({ .stream = m_stream,
+                               .hasSnapshot = true,
+                               .snapshotThrough = through,
+                               .snapshot = {},
+                               .batches = { std::move(carrier) } });
+        }
+        return result;
+    }
+
     static fold_result ignoredResult(const read_batch &batch, std::size_t index)
     {
         return { .position = log_position::of(batch.stored.offset, index),
@@ -234,12 +264,12 @@
     }
 
     std::string m_stream;
-    std::uint64_t m_producer;
     log_pipeline m_pipeline;
     State m_state;
     bool m_collecting = false;
     bool m_loadedFromPeer = false;
     snapshot_reader m_snapshots;
+    snapshot_reader m_peerSnapshots;
     std::vector<read_batch> m_collected;
     std::deque<stored_batch> m_tail;
     std::size_t m_tailRecords = 0;
--- a/testsuite/matrix/observer.cpp
+++ b/testsuite/matrix/observer.cpp
@@ -25,6 +25,10 @@
     if (progressMs < view.checkpointMs)
         violate(3, task + " resumed at " + std::to_string(progressMs) + " ms, its last checkpoint "
                            + "is " + std::to_string(view.checkpointMs) + " ms");
+    // A holder that is cut off or frozen past its term may have seen the end of the task without
+    // recording it; its claim was revoked and waited out, so the task runs again.
+    if (attempt != view.lastAttempt && m_revoked.contains({ task, view.lastAttempt }))
+        onFinishForgotten(task);
     if (m_finished[task] > 0)
         violate(3, task + " was started after it had finished");
     view.lastAttempt = attempt;
@@ -52,7 +56,7 @@
 void observer::onFinishForgotten(const std::string &task)
 {
     if (!m_recorded.contains(task))
-        --m_finished[task];
+        m_finished[task] = 0;
 }
 
 void observer::onVmUsage(const std::string &vm, const resources &used, const resources &capacity)
--- a/testsuite/matrix/observer.h
+++ b/testsuite/matrix/observer.h
@@ -25,6 +25,10 @@
     void onTaskCheckpointed(const std::string &task, log_position attempt, std::int64_t progressMs);
     void onTaskFinished(const std::string &task);
     void onFinishRecorded(const std::string &task) { m_recorded.insert(task); }
+    void onRevocationRecorded(const std::string &task, log_position attempt)
+    {
+        m_revoked.emplace(task, attempt);
+    }
     /// A worker died, and with it all knowledge that the task had finished there, unless the log
     /// has it: the system has to run the task again from its checkpoint.
     void onFinishForgotten(const std::string &task);
@@ -61,6 +65,7 @@
     std::map<std::string, task_view> m_tasks;
     std::map<std::string, int> m_finished;
     std::set<std::string> m_recorded; ///< the log has a task_finished
+    std::set<std::pair<std::string, log_position>> m_revoked; ///< the log has a task_revoked
     std::map<std::uint64_t, int> m_serviceStarts;
     std::set<std::uint64_t> m_notRun;
     std::map<outcome_kind, std::uint64_t> m_outcomes;
--- a/testsuite/matrix/world.cpp
+++ b/testsuite/matrix/world.cpp
@@ -22,6 +22,8 @@
         for (const log_record &record : batch.records) {
             if (const auto *finished = std::get_if<task_finished>(&record))
                 watch.onFinishRecorded(finished->task.toString());
+            else if (const auto *revoked = std::get_if<task_revoked>(&record))
+                watch.onRevocationRecorded(revoked->task.toString(), revoked->attempt);
         }
     };
     makeNodes();
