Accept the end of a task from any list

Cause: a list sent before a rejected renewal was ignored as too old, and the worker rebooted before the next one, so a finished task ran again. An attempt that has ended never runs again, so the order of lists does not matter for it.

--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -228,7 +228,12 @@
     const bool changing = m_callId != 0
                           && (m_callOperation == worker_operation::start
                               || m_callOperation == worker_operation::stop);
-    if (changing || callId <= m_viewCallId)
+    // An attempt that has ended by itself never runs again, so an older list is as good as a newer
+    // one, and the only one if the worker reboots before the next.
+    const bool final = entry != nullptr
+                       && (entry->state == worker_task_state::finished
+                           || entry->state == worker_task_state::failed);
+    if (!final && (changing || callId <= m_viewCallId))
         return;
     if (workerClockUs > m_lateStartUntilUs)
         m_lateStartUntilUs = 0;
--- a/src/librole/stream_follower.h
+++ b/src/librole/stream_follower.h
@@ -35,7 +35,7 @@
 
     stream_follower(log_pipeline_options options, std::uint64_t seed)
         : m_stream(options.stream)
-            , m_pipeline(options, seed)
+        , m_pipeline(options, seed)
     {}
 
     std::optional<std::uint64_t> submit(instant now, log_record record)
