--- a/testsuite/matrix/fake_log.cpp
+++ b/testsuite/matrix/fake_log.cpp
@@ -35,25 +35,27 @@
     }
 }
 
-void fake_log::read(const read_call &call, std::function<void(read_answer)> done)
+void fake_log::read(const std::string &reader, const read_call &call,
+                    std::function<void(read_answer)> done)
 {
-    m_queue.after(jitter(), [this, call, done = std::move(done)] {
-        const read_answer answer = load(call);
+    m_queue.after(jitter(), [this, reader, call, done = std::move(done)] {
+        const read_answer answer = load(reader, call);
         m_queue.after(jitter(), [answer, done] { done(answer); });
     });
 }
 
-read_answer fake_log::load(const read_call &call)
+read_answer fake_log::load(const std::string &reader, const read_call &call)
 {
     read_answer answer{ .callId = call.callId, .stream = call.stream };
     if (down)
         return answer;
+    const bool lags = readLag.count() > 0 && (laggingReader.empty() || laggingReader == reader);
     const stream &source = m_streams[call.stream];
     answer.ok = true;
     answer.earliest = source.first;
     answer.next = source.first;
     for (const stored &item : source.batches) {
-        if (readLag.count() > 0 && item.at > m_queue.now() - readLag)
+        if (lags && item.at > m_queue.now() - readLag)
             break;
         answer.next = item.batch.offset + 1;
         if (item.batch.offset >= call.fromOffset && answer.batches.size() < call.maxBatches)
--- a/testsuite/matrix/fake_log.h
+++ b/testsuite/matrix/fake_log.h
@@ -24,12 +24,14 @@
     {}
 
     void append(const append_call &call, std::function<void(append_answer)> done);
-    void read(const read_call &call, std::function<void(read_answer)> done);
+    void read(const std::string &reader, const read_call &call,
+              std::function<void(read_answer)> done);
 
     bool down = false; ///< calls fail without effect
     duration delay = std::chrono::milliseconds(4);
     int loseAppendAnswers = 0; ///< these appends take effect, their answers are lost
     duration readLag{}; ///< reads do not show appends younger than this
+    std::string laggingReader; ///< only this process reads with the lag; empty: all do
     std::size_t retainedBatches = 1'000'000;
     std::function<void(const record_batch &)> onStored;
 
@@ -46,7 +48,7 @@
     };
 
     void store(const append_call &call, append_answer &answer);
-    [[nodiscard]] read_answer load(const read_call &call);
+    [[nodiscard]] read_answer load(const std::string &reader, const read_call &call);
     duration jitter();
 
     event_queue &m_queue;
--- a/testsuite/matrix/faults.cpp
+++ b/testsuite/matrix/faults.cpp
@@ -137,6 +137,18 @@
     target.queue.after(seconds(6), [&target] { target.log.readLag = duration(); });
 }
 
+/// One entry reads from a part of the log service that is behind.
+void logLagsForOne(world &target, workload &load, node &)
+{
+    exemptAll(target, load, seconds(16));
+    target.log.readLag = seconds(14);
+    target.log.laggingReader = someEntry(target).name;
+    target.queue.after(seconds(16), [&target] {
+        target.log.readLag = duration();
+        target.log.laggingReader.clear();
+    });
+}
+
 void workerLosesAnswers(world &target, workload &, node &process)
 {
     (process.isEntry ? someAgent(target) : process).worker->loseAnswers = 3;
@@ -205,6 +217,7 @@
         { "log_slow", logSlow },
         { "log_loses_answers", logLosesAnswers },
         { "log_reads_lag", logReadsLag },
+        { "log_lags_for_one", logLagsForOne },
         { "worker_loses_answers", workerLosesAnswers },
         { "worker_fails_all", workerFailsAll },
         { "service_breaks", serviceBreaks },
--- a/testsuite/matrix/world.cpp
+++ b/testsuite/matrix/world.cpp
@@ -300,7 +300,7 @@
     } else if (const auto *append = std::get_if<append_call>(&item)) {
         log.append(*append, back);
     } else if (const auto *read = std::get_if<read_call>(&item)) {
-        log.read(*read, back);
+        log.read(target.name, *read, back);
     } else if (const auto *call = std::get_if<worker_call>(&item)) {
         target.worker->call(*call, back);
     } else if (const auto *service = std::get_if<service_call>(&item)) {
