--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 BUILD ?= build
 
-.PHONY: packages build format format-check lint test sanitize fuzz demo bench soak clean
+.PHONY: packages build format format-check lint test sanitize fuzz demo bench soak settings clean
 
 packages:
 	@cmake/install-packages.sh
@@ -31,6 +31,9 @@
 demo: build
 	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/demo.py
 
+settings: build
+	@python3 docs/make-settings.py --build=$(BUILD)
+
 # A fixed seed and count, so that a run can be repeated and has an end.
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -238,6 +238,7 @@
             output << " (default: empty)\n";
         else
             output << " (default: " << f.defaultText << ")\n";
+        output << "      accepted: " << f.rule.description << '\n';
     }
     output << "\nGeneral:\n  --check\n      check the settings and stop\n"
            << "  --version\n      print the version and stop\n"
--- a/src/libruntime/settings_test.cpp
+++ b/src/libruntime/settings_test.cpp
@@ -112,8 +112,9 @@
     BOOST_TEST((program.load({ "--version" }) == 0));
     BOOST_TEST(contains(program.output, "test-program " PLANTAIN_VERSION));
     BOOST_TEST((program.load({ "--help" }) == 0));
-    for (const char *part : { "Network:", "Limits:", "--test_memory_bytes\n      memory in bytes",
-                              "(default: 7000)", "PLANTAIN_TEST_ADDRESS" })
+    for (const char *part :
+         { "Network:", "Limits:", "--test_memory_bytes\n      memory in bytes", "(default: 7000)",
+           "PLANTAIN_TEST_ADDRESS", "      accepted: a whole number from " })
         BOOST_TEST(contains(program.output, part), part);
 }
 
--- a/src/plantain-entry/entry_settings.cpp
+++ b/src/plantain-entry/entry_settings.cpp
@@ -22,20 +22,27 @@
                portNumber());
 
     target.group("Agents and other entries");
-    target.add("peer_address", peerAddress, "address for agents and other entries", ipAddress());
+    target.add("peer_address", peerAddress, "address on which agents and other entries connect",
+               ipAddress());
     target.add("peer_port", peerPort, "port for agents and other entries; 0: chosen by the system",
                portNumber());
-    target.add("peers", peers, "address:port list of the other entries", addressList(true));
+    target.add("peers", peers,
+               "peer addresses and ports of the other entries of the same cell; empty: none",
+               addressList(true));
 
     target.group("Log service");
     target.add("log_address", logAddress, "address of the platform's log service", ipAddress());
-    target.add("log_port", logPort, "port of the platform's log service", numberBetween(1, 65535));
+    target.add("log_port", logPort, "port of the platform's log service, HTTP",
+               numberBetween(1, 65535));
 
     target.group("Process");
-    target.add("threads", threads, "number of threads", numberBetween(1, 256));
-    target.add("router_shards", routerShards, "number of shards that route requests",
+    target.add("threads", threads, "number of threads that handle connections and events",
+               numberBetween(1, 256));
+    target.add("router_shards", routerShards,
+               "number of shards that route requests, each under its own lock",
                numberBetween(1, 64));
-    target.add("log_level", logLevel, "smallest level of log lines: debug, info, warning or error",
+    target.add("log_level", logLevel,
+               "least severe level of the log lines written to standard error",
                oneOf({ "debug", "info", "warning", "error" }));
 }
 
--- a/src/plantain-load/main.cpp
+++ b/src/plantain-load/main.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 
@@ -15,10 +16,14 @@
 {
     using namespace plantainpitch::runtime;
     flags.group("Requests");
-    flags.add("server", options.servers, "callers' addresses of the entries, comma-separated",
+    flags.add("server", options.servers,
+              "addresses and callers' ports of the entries; a request goes to the next one if a "
+              "connection cannot be opened",
               addressList(false));
-    flags.add("account", options.account, "client account", notEmpty("an account"));
-    flags.add("template", options.templateName, "service", notEmpty("a template of kind service"));
+    flags.add("account", options.account, "client account whose service is called",
+              notEmpty("acme"));
+    flags.add("template", options.templateName, "name of the service template",
+              notEmpty("strike-payout"));
     flags.add("path", options.path, "path within the service; {n} is the number of the request",
               anyValue());
     flags.add("method", options.method, "HTTP method", notEmpty("GET"));
@@ -26,16 +31,23 @@
     flags.add("key", options.key, "prefix of the Idempotency-Key of each request; empty: no key",
               anyValue());
     flags.group("Load");
-    flags.add("rate", options.rate, "requests a second", numberBetween(1, 1'000'000));
-    flags.add("duration_s", options.durationS, "length of the run", numberBetween(1, 86'400));
+    flags.add("rate", options.rate, "requests a second over all servers",
+              numberBetween(1, 1'000'000));
+    flags.add("duration_s", options.durationS, "length of the run in seconds",
+              numberBetween(1, 86'400));
     flags.add("connections", options.connections, "connections to each server",
               numberBetween(1, 100'000));
-    flags.add("timeout_ms", options.timeoutMs, "deadline of each request",
+    flags.add("timeout_ms", options.timeoutMs,
+              "deadline of each request in milliseconds, sent as X-Request-Timeout-Ms",
               numberBetween(1, 3'600'000));
-    flags.add("seed", options.seed, "of the times of requests, their keys and tokens",
-              numberBetween(0, UINT32_MAX));
+    flags.add(
+            "seed", options.seed,
+            "seed of the times of requests, their keys and tokens; the same seed repeats the same "
+            "Idempotency-Keys",
+            numberBetween(0, UINT32_MAX));
     flags.group("Report");
-    flags.add("output", options.output, "text or json", oneOf({ "text", "json" }));
+    flags.add("output", options.output, "form of the report on standard output",
+              oneOf({ "text", "json" }));
 }
 
 /// Takes --check_answers out of the arguments: it has no value.
@@ -44,13 +56,15 @@
     return std::erase(arguments, "--check_answers") > 0;
 }
 
-void printOwnFlags(const std::vector<std::string> &arguments)
+void printOwnFlags()
 {
-    for (const auto &argument : arguments) {
-        if (argument == "--help")
-            std::cout << "  --check_answers\n      check that each answer contains the path of its "
-                         "own request; exit code 1 if one does not\n\n";
-    }
+    std::cout << "\nAnswers:\n  --check_answers\n      check that each answer contains the path of "
+                 "its own request; exit code 1 if one does not\n";
+}
+
+bool wantsHelp(const std::vector<std::string> &arguments)
+{
+    return std::find(arguments.begin(), arguments.end(), "--help") != arguments.end();
 }
 
 } // namespace
@@ -62,10 +76,12 @@
     options.checkAnswers = takeCheckAnswers(arguments);
     runtime::settings flags("plantain-load", "load generator for the callers' port");
     addFlags(flags, options);
-    printOwnFlags(arguments);
     const auto environment = [](const std::string &name) { return std::getenv(name.c_str()); };
-    if (const auto code = flags.load(arguments, environment, std::cout, std::cerr))
+    if (const auto code = flags.load(arguments, environment, std::cout, std::cerr)) {
+        if (wantsHelp(arguments))
+            printOwnFlags();
         return *code;
+    }
     boost::asio::io_context context;
     load_generator generator(context, options, runtime::parseHostPorts(options.servers).value());
     generator.start();
--- a/src/plantainctl/main.cpp
+++ b/src/plantainctl/main.cpp
@@ -35,17 +35,24 @@
                         [](const std::string &text) {
                             return runtime::parseHostPort(text).has_value();
                         },
-                .description = "an address and a port, e.g. 10.0.0.5:7100" });
-    flags.add("timeout_ms", options.timeoutMs, "time to wait for an answer",
+                .description = "an address and a port, e.g. 10.0.0.5:7001" });
+    flags.add("timeout_ms", options.timeoutMs,
+              "time to wait for an answer in milliseconds; after it the outcome of a change is not "
+              "known (exit code 5)",
               runtime::numberBetween(1, 600'000));
     flags.group("Commands");
-    flags.add("output", options.output, "text or json", runtime::oneOf({ "text", "json" }));
+    flags.add("output", options.output,
+              "form of the output; errors are JSON on standard output with json, text on standard "
+              "error otherwise",
+              runtime::oneOf({ "text", "json" }));
     flags.add("base_revision", options.baseRevision,
               "publish: revision that must be in force, 0 for a new document; -1: read it first",
               { .accepts = runtime::numberBetween(-1, INT64_MAX).accepts,
-                .description = "the revision that get shows" });
-    flags.add("id", options.jobId, "submit: job id; the same id is never submitted twice",
-              runtime::anyValue());
+                .description = "-1, 0 or the revision that get shows" });
+    flags.add(
+            "id", options.jobId,
+            "submit: job id, which makes it safe to repeat the command; empty: chosen by the entry",
+            runtime::anyValue());
 }
 
 void print(const json::object &object, bool asJson)
--- a/testsuite/plantainctl_test.py
+++ b/testsuite/plantainctl_test.py
@@ -3,6 +3,7 @@
 import http.server
 import json
 import os
+import re
 import subprocess
 import sys
 import tempfile
@@ -169,6 +170,17 @@
         run = self.run_ctl("status", environment={"PLANTAIN_SERVER": f"127.0.0.1:{self.port}"})
         self.assertEqual((run.returncode, len(FakeEntry.requests)), (0, 1))
 
+    def test_default_server_is_the_default_administration_port(self):
+        # Guards against a plantainctl that does not reach an entry with default settings.
+        def default_of(program, flag):
+            text = subprocess.run([os.path.join(BUILD, program), "--help"], capture_output=True,
+                                  text=True, timeout=20, check=True).stdout
+            return re.search(rf"--{flag}\n.*\(default: (.*)\)", text)[1]
+
+        self.assertEqual(default_of("plantainctl", "server"),
+                         default_of("plantain-entry", "admin_address") + ":"
+                         + default_of("plantain-entry", "admin_port"))
+
 
 if __name__ == "__main__":
     unittest.main(argv=sys.argv, verbosity=2)
