--- a/src/plantainctl/main.cpp
+++ b/src/plantainctl/main.cpp
@@ -80,11 +80,15 @@
                               "type plantainctl help for all commands");
     const auto &chosen = findCommand(commands, words.front());
     const command_arguments arguments(words.begin() + 1, words.end());
-    if (arguments.size() != chosen.argumentCount)
+    if (arguments.size() != chosen.argumentCount) {
+        const auto count = std::to_string(chosen.argumentCount)
+                           + (chosen.argumentCount == 1 ? " argument" : " arguments");
         throw command_failure(exit_code::usage, "usage",
-                              chosen.name + " takes " + std::to_string(chosen.argumentCount)
-                                      + " arguments, not " + std::to_string(arguments.size()),
-                              "type plantainctl " + chosen.name + ' ' + chosen.usage);
+                              chosen.name + " takes " + count + ", not "
+                                      + std::to_string(arguments.size()),
+                              "type plantainctl " + chosen.name
+                                      + (chosen.usage.empty() ? "" : ' ' + chosen.usage));
+    }
     const auto server = runtime::parseHostPort(options.server).value();
     const admin_client client(server.host, server.port,
                               std::chrono::milliseconds(options.timeoutMs));
--- a/testsuite/plantainctl_test.py
+++ b/testsuite/plantainctl_test.py
@@ -181,6 +181,17 @@
                          default_of("plantain-entry", "admin_address") + ":"
                          + default_of("plantain-entry", "admin_port"))
 
+    def test_wrong_number_of_arguments_names_the_command(self):
+        # Guards against a remedy that cannot be typed as it is shown.
+        run = self.run_ctl("drain")
+        self.assertEqual((run.returncode, run.stderr),
+                         (2, "plantainctl: drain takes 1 argument, not 0; "
+                             "type plantainctl drain VM\n"))
+        run = self.run_ctl("status", "extra")
+        self.assertEqual((run.returncode, run.stderr),
+                         (2, "plantainctl: status takes 0 arguments, not 1; "
+                             "type plantainctl status\n"))
+
 
 if __name__ == "__main__":
     unittest.main(argv=sys.argv, verbosity=2)
