--- a/src/librole/authority_clock.h
+++ b/src/librole/authority_clock.h
@@ -4,6 +4,7 @@
 #include "plantainpitch/role/message/authority_grant.h"
 #include "plantainpitch/role/message/authority_request.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -28,9 +29,11 @@
         , m_interval(interval)
     {}
 
-    [[nodiscard]] bool due(instant now) const
+    /// \a shortestTerm: of the tasks held. A fifth of it leaves room for a lost request and for
+    /// the answer's way through the log before a task has to stop.
+    [[nodiscard]] bool due(instant now, duration shortestTerm) const
     {
-        return !m_lastSent || now >= *m_lastSent + m_interval;
+        return !m_lastSent || now >= *m_lastSent + std::min(m_interval, shortestTerm / 5);
     }
     void makeDue() { m_lastSent.reset(); }
     authority_request request(instant now, const std::string &vm, std::vector<held_task> held);
--- a/src/librole/entry_router_shard.cpp
+++ b/src/librole/entry_router_shard.cpp
@@ -1,7 +1,9 @@
 #include "entry_router_shard.h"
 
+#include "admin_json.h"
 #include "admin_target.h"
 #include "entry_control.h"
+#include "plantainpitch/model/error.h"
 
 namespace plantainpitch::detail {
 
@@ -68,8 +70,15 @@
 
 void entry_router_shard::onAdmin(const admin_request &request)
 {
-    const admin_target target = parseAdminTarget(request.target);
-    emit(answer_admin{ request.adminId, 200, m_router.explainService(target.segments.back()) });
+    try {
+        const admin_target target = parseAdminTarget(request.target);
+        if (target.segments.size() != 4)
+            throw error(error_kind::not_found, "the path names no service",
+                        "ask for /v1/explain/service/NAME");
+        emit(answer_admin{ request.adminId, 200, m_router.explainService(target.segments[3]) });
+    } catch (const error &problem) {
+        emit(makeAdminError(request.adminId, problem));
+    }
 }
 
 void entry_router_shard::forwardSubmission(submit_record submission)
--- a/src/librole/held_task_machine.h
+++ b/src/librole/held_task_machine.h
@@ -80,6 +80,7 @@
     [[nodiscard]] phase currentPhase() const { return m_phase; }
     [[nodiscard]] const task_id &task() const { return m_task; }
     [[nodiscard]] log_position attempt() const { return m_attempt; }
+    [[nodiscard]] duration term() const { return m_term; }
     [[nodiscard]] std::uint64_t ticket() const { return m_ticket; }
     [[nodiscard]] bool mayDropRecord() const { return m_phase == phase::claiming; }
     /// True while the task runs, starts or may run, or is about to.
--- a/src/librole/task_holder.cpp
+++ b/src/librole/task_holder.cpp
@@ -109,7 +109,7 @@
             m_state->onAnswer(now, answer, *call);
     }
     m_state->outbox.tick(now);
-    if (m_state->outbox.gateway() != 0 && m_state->authority.due(now))
+    if (m_state->outbox.gateway() != 0 && m_state->authority.due(now, m_state->shortestTerm()))
         m_state->requestAuthority(now);
     m_state->stepAll(now);
     m_state->requestList(now);
--- a/src/librole/task_holder_state.cpp
+++ b/src/librole/task_holder_state.cpp
@@ -12,6 +12,14 @@
 
 } // namespace
 
+duration task_holder::state::shortestTerm() const
+{
+    duration shortest = options.longestTerm;
+    for (const auto &[task, machine] : machines)
+        shortest = std::min(shortest, machine.term());
+    return shortest;
+}
+
 void task_holder::state::requestAuthority(instant now)
 {
     std::vector<held_task> held;
--- a/src/librole/task_holder_state.h
+++ b/src/librole/task_holder_state.h
@@ -31,6 +31,7 @@
     state(const state &) = delete;
     state &operator=(const state &) = delete;
 
+    [[nodiscard]] duration shortestTerm() const;
     void requestAuthority(instant now);
     void adoptUnlisted(instant now, const authority_grant &grant);
     void requestList(instant now);
--- a/src/plantain-entry/entry_shell.cpp
+++ b/src/plantain-entry/entry_shell.cpp
@@ -95,12 +95,12 @@
 
 void entry_shell::run()
 {
-    m_callerServer.start();
     m_adminServer.start();
     m_listener.start();
     for (const auto &connector : m_connectors)
         connector->start();
     logListening();
+    m_started = m_core.time().now();
     m_core.loop().run({ .tick = [this] { tick(); },
                         .stop = [this] { deliver(stop_requested{}); },
                         .fault = [this](const std::exception &fault) { m_core.fail(fault); } });
@@ -121,6 +121,13 @@
 {
     deliver(timer_tick{ .nowMs = m_core.time().wallMs() });
     m_core.log().reportSuppressed();
+    // Connections that come earlier wait in the listen queue for a moment. An entry that cannot get
+    // ready answers them that it is not.
+    const bool mayAccept = m_role.ready() || m_core.time().now() - m_started > 5s;
+    if (!m_callersOpen && mayAccept) {
+        m_callersOpen = true;
+        m_callerServer.start();
+    }
     if (!m_callersClosed && m_role.closeListeners()) {
         m_callersClosed = true;
         m_callerServer.stopAccepting();
--- a/src/plantain-entry/entry_shell.h
+++ b/src/plantain-entry/entry_shell.h
@@ -57,7 +57,10 @@
     runtime::peer_options m_peerOptions;
     runtime::peer_listener m_listener;
     std::vector<std::unique_ptr<runtime::peer_connector>> m_connectors;
-    bool m_callersClosed = false; // used by tick() only
+    // Used by tick() only.
+    instant m_started;
+    bool m_callersOpen = false;
+    bool m_callersClosed = false;
 };
 
 } // namespace plantainpitch::entry
