Tell a worker that fails everything from a job that fails everywhere

Cause: a VM was quarantined only after failures of two different templates, and five attempts of a task followed each other at once. Two of three workers that failed everything for 5 s ended a good job of a cell with one template as failed.

A VM is now quarantined after three failures of at least two jobs without a success in between, at most half of the VMs and never all. Failures of a template that failed on three VMs and succeeded on none are no evidence against a VM. Failures on a VM in quarantine, also those before it began, do not count against a task as far as the entry saw them; a task ends after four times max_attempts in any case. Attempts of one task are 1 s to 60 s apart (the first retry of urgent work is not delayed) and prefer a VM on which the task has not failed.

Ruled out: counting only delays, since a longer fault would fail the job again; counting in the fold, since quarantine is what one entry saw.

The quarantine test no longer removes vm2, because the only VM is never quarantined now; vm2 is connected and too small instead. The failures it counts are of one template, which the old rule would not have quarantined.

--- a/src/librole/task_dispatcher.cpp
+++ b/src/librole/task_dispatcher.cpp
@@ -98,6 +98,8 @@
         m_state->revocations.onRevoking(now, *task, known->lastChange);
     else
         m_state->revocations.erase(*task);
+    if (known == nullptr || isFinal(known->phase))
+        m_state->retries.erase(*task);
     if (const auto *sent = m_state->proposals.find(*task);
         sent != nullptr && (known == nullptr || known->lastChange != sent->base))
         m_state->proposals.remove(*task);
@@ -113,7 +115,7 @@
         // A claim that was read from a snapshot is older than its reading.
         if (before->sinceClaim)
             m_state->sizes.onFinished(before->templateName, (now - before->readAt).count() / 1000);
-        m_state->health.onSuccess(before->vm);
+        m_state->health.onSuccess(before->vm, before->templateName);
     }
 }
 
@@ -121,6 +123,7 @@
 {
     m_state->claims.rebuild(now, cell);
     m_state->revocations.clear();
+    m_state->retries.keepOpenTasks(cell);
     for (const task_id &task : cell.unplacedTasks()) {
         const task_state *known = cell.findTask(task);
         if (known != nullptr && known->phase == task_phase::revoking)
--- a/src/librole/task_dispatcher_state.cpp
+++ b/src/librole/task_dispatcher_state.cpp
@@ -20,6 +20,10 @@
 // are not likely to find any.
 constexpr std::size_t maxMissesPerJob = 4;
 
+// Failures on VMs in quarantine do not count against a task, but a task that is itself the fault of
+// everything must end as well.
+constexpr std::uint32_t excusedAttemptsFactor = 4;
+
 // Latency, as a share of the target, that an eviction stands for.
 constexpr double evictedLatencyRatio = 1.1;
 
@@ -148,19 +152,27 @@
         if (revocations.age(now, task, state.lastChange) < waitAfterRevocation(description))
             return false;
     }
-    std::string verdict;
-    if (job.cancelled)
-        verdict = "cancelled";
-    else if (state.failures >= description.maxAttempts && state.failedVms.size() >= 2)
-        verdict = "failed " + std::to_string(state.failures) + " times on different VMs";
-    else if (state.failures >= 2 * description.maxAttempts)
-        verdict = "failed " + std::to_string(state.failures) + " times";
-    if (!verdict.empty()) {
+    if (const std::string verdict = verdictOn(job, task, state); !verdict.empty()) {
         records.submit(now, task,
                        task_failed{ .task = task, .base = state.lastChange, .reason = verdict });
         return false;
     }
-    return proposals.find(task) == nullptr;
+    return proposals.find(task) == nullptr
+           && retries.mayRetry(now, task, state, description.taskPriority);
+}
+
+std::string task_dispatcher::state::verdictOn(const job_state &job, const task_id &task,
+                                              const task_state &state) const
+{
+    if (job.cancelled)
+        return "cancelled";
+    const std::uint32_t most = job.description.maxAttempts;
+    const std::uint32_t counted = retries.countedFailures(task, state);
+    if (counted >= most && retries.countedVms(task, state) >= 2)
+        return "failed " + std::to_string(state.failures) + " times on different VMs";
+    if (counted >= 2 * most || state.failures >= excusedAttemptsFactor * most)
+        return "failed " + std::to_string(state.failures) + " times";
+    return {};
 }
 
 std::size_t task_dispatcher::state::place(instant now, const cell_state &cell, const job_work &work,
@@ -199,8 +211,16 @@
     const auto allowed = [&](const placement_vm &vm) {
         return !proposals.avoids(now, task, vm.vm);
     };
+    const auto untried = [&](const placement_vm &vm) {
+        return allowed(vm)
+               && std::find(known.failedVms.begin(), known.failedVms.end(), vm.vm)
+                          == known.failedVms.end();
+    };
     const auto inRack = [&](const std::string &rack) { return tasksInRack(task.job, rack); };
-    const auto chosen = placement->choose(request, vms.placements(), allowed, inRack);
+    // Failures on different VMs tell a fault of the task from a fault of a VM.
+    auto chosen = placement->choose(request, vms.placements(), untried, inRack);
+    if (!chosen && !known.failedVms.empty())
+        chosen = placement->choose(request, vms.placements(), allowed, inRack);
     if (!chosen)
         return false;
     placement_vm &vm = *vms.placement(vms.placements()[*chosen].vm);
@@ -229,8 +249,14 @@
 void task_dispatcher::state::noteFailure(instant now, const claim_index::claim &claim,
                                          const task_id &task)
 {
-    if (!health.onFailure(now, claim.vm, claim.templateName))
+    retries.onFailure(now, task);
+    health.onFailure(now, claim.vm, claim.templateName, task);
+    if (health.inQuarantine(claim.vm))
+        retries.excuse(task, claim.vm);
+    if (!health.isSuspect(claim.vm) || !mayQuarantineAnother())
         return;
+    for (const task_id &failed : health.quarantine(now, claim.vm))
+        retries.excuse(failed, claim.vm);
     count("vm_quarantines_total");
     actions.emplace_back(
             write_log{ .level = log_level::warning,
@@ -238,6 +264,15 @@
                        .fields = { { "vm", claim.vm }, { "task", task.toString() } } });
 }
 
+// Half of the VMs, rounded up, but never all: then the jobs are more likely at fault.
+bool task_dispatcher::state::mayQuarantineAnother() const
+{
+    const std::vector<placement_vm> &all = vms.placements();
+    const auto quarantined = static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [&](const auto &vm) { return health.inQuarantine(vm.vm); }));
+    return quarantined < (all.size() + 1) / 2 && quarantined + 1 < all.size();
+}
+
 // Entries see no latency samples of a VM, but an agent evicts only what disturbs its service.
 void task_dispatcher::state::learnEviction(const std::string &vm, const std::string &templateName)
 {
--- a/src/librole/task_dispatcher_state.h
+++ b/src/librole/task_dispatcher_state.h
@@ -4,6 +4,7 @@
 #include "proposal_table.h"
 #include "record_requests.h"
 #include "revocation_table.h"
+#include "task_retries.h"
 #include "vm_health.h"
 #include "vm_table.h"
 
@@ -48,6 +49,10 @@
     [[nodiscard]] duration waitAfterRevocation(const job_submitted &job) const;
     [[nodiscard]] std::string reasonOf(const job_state &job, const task_id &task,
                                        const task_state &known) const;
+    /// Reason to fail the task for good; empty if there is none.
+    [[nodiscard]] std::string verdictOn(const job_state &job, const task_id &task,
+                                        const task_state &state) const;
+    [[nodiscard]] bool mayQuarantineAnother() const;
     void noteFailure(instant now, const claim_index::claim &claim, const task_id &task);
     void learnEviction(const std::string &vm, const std::string &templateName);
     void giveBack(const proposal_table::proposal &proposal);
@@ -61,6 +66,7 @@
     revocation_table revocations;
     claim_index claims;
     vm_health health;
+    task_retries retries;
     vm_table vms;
     team_usage_map teams;
     learned_size sizes;
--- a/src/librole/task_dispatcher_test.cpp
+++ b/src/librole/task_dispatcher_test.cpp
@@ -60,6 +60,17 @@
                                  .base = cell.findTask(which)->lastChange });
     }
 
+    /// Claims and fails a task; submits its job if it is new.
+    void fail(const std::string &vm, const task_id &which = task,
+              const std::string &templateName = "t")
+    {
+        if (cell.findTask(which) == nullptr)
+            submit(1000, which.job, templateName);
+        put(task_released{ .task = which,
+                           .attempt = claim(vm, which),
+                           .reason = release_reason::task_failed });
+    }
+
     /// Ticks for a while and returns the proposals and the records of that time.
     void run(duration length)
     {
@@ -179,20 +190,84 @@
 // Guards against a VM at fault that fails every job of the cell, and one that never comes back.
 BOOST_AUTO_TEST_CASE(failingVmIsQuarantinedAndProbed)
 {
-    dispatcher.onVmGone(now, "vm2");
-    for (int i = 0; i < 3; ++i) {
-        const task_id failing{ .job = "j" + std::to_string(i), .index = 0 };
-        submit(1000, failing.job, "t" + std::to_string(i));
-        put(task_released{ .task = failing,
-                           .attempt = claim("vm1", failing),
-                           .reason = release_reason::task_failed });
-    }
+    dispatcher.onVm(now, { .connection = 12, .vm = "vm2", .capacity = { .processorsMilli = 10 } });
+    for (int i = 0; i < 3; ++i)
+        fail("vm1", { .job = "j" + std::to_string(i), .index = 0 });
     run(seconds(29));
     BOOST_TEST(proposals.empty());
     run(seconds(3));
     BOOST_TEST(proposals.size() == 1U);
 }
 
+// Guards against a good task that ends as failed because VMs at fault failed it, also before their
+// quarantine, and against one that is then held back.
+BOOST_AUTO_TEST_CASE(failuresOnQuarantinedVmsDoNotCount)
+{
+    addVm("vm3", 13);
+    for (const char *vm : { "vm1", "vm2" }) {
+        fail(vm);
+        fail(vm);
+        fail(vm, { .job = "other", .index = 0 });
+    }
+    run(milliseconds(50));
+    BOOST_TEST(records.empty());
+    BOOST_REQUIRE(proposals.size() == 2U);
+    BOOST_TEST(proposals[0].first == 13U);
+    BOOST_TEST(proposals[1].first == 13U);
+}
+
+// Guards against jobs at fault that quarantine all VMs, and against failing for ever.
+BOOST_AUTO_TEST_CASE(jobsThatFailEverywhereLeaveVmsInUse)
+{
+    for (connection_id i = 3; i <= 6; ++i)
+        addVm("vm" + std::to_string(i), 10 + i);
+    for (int vm = 1; vm <= 6; ++vm) {
+        for (int job = 0; job < 3; ++job)
+            fail("vm" + std::to_string(vm), { .job = "j" + std::to_string(job), .index = 0 });
+    }
+    run(milliseconds(100));
+    BOOST_TEST(records.size() == 3U); // each job has failed for good
+    for (int i = 0; i < 8; ++i)
+        submit(1000, "good" + std::to_string(i));
+    run(milliseconds(100));
+    BOOST_TEST(proposals.size() == 8U); // no more than two of the six VMs are in quarantine
+}
+
+// Guards against a quarantine of every VM when the faults cannot be told apart by template.
+BOOST_AUTO_TEST_CASE(halfOfTheVmsAtMostAreInQuarantine)
+{
+    addVm("vm3", 13);
+    addVm("vm4", 14);
+    for (const std::string vm : { "vm1", "vm2", "vm3", "vm4" }) {
+        for (int job = 0; job < 3; ++job)
+            fail(vm, { .job = vm + "-" + std::to_string(job), .index = 0 }, "of-" + vm);
+    }
+    for (int i = 0; i < 8; ++i)
+        submit(1000, "good" + std::to_string(i));
+    run(milliseconds(100));
+    BOOST_TEST(proposals.size() == 4U);
+}
+
+// Guards against quick attempts that all fall into one short fault, and urgent work that waits.
+BOOST_AUTO_TEST_CASE(attemptsAreDelayed)
+{
+    submit();
+    fail("vm1");
+    run(milliseconds(900));
+    BOOST_TEST(proposals.empty());
+    run(milliseconds(200));
+    BOOST_REQUIRE(proposals.size() == 1U);
+    BOOST_TEST(proposals[0].first == 12U); // the VM on which it has not failed
+    const task_id urgent{ .job = "urgent", .index = 0 };
+    put(job_submitted{ .job = "urgent",
+                       .templateName = "t",
+                       .taskResources = { .processorsMilli = 100 },
+                       .taskPriority = priority::urgent });
+    fail("vm1", urgent);
+    run(milliseconds(100));
+    BOOST_TEST(proposals.size() == 1U);
+}
+
 // Guards against a job that can never run being proposed without an explanation.
 BOOST_AUTO_TEST_CASE(jobThatCanNeverRunIsExplained)
 {
--- a/src/librole/task_explanation.cpp
+++ b/src/librole/task_explanation.cpp
@@ -26,6 +26,8 @@
         return "revoked; the authority of " + known.vm + " may not have ended";
     if (const std::string refusal = proposals.lastRefusal(task); !refusal.empty())
         return "last proposal refused: " + refusal;
+    if (!retries.mayRetry(lastPass, task, known, job.description.taskPriority))
+        return "failed " + std::to_string(known.failures) + " times; waits for its next attempt";
     const auto quota = teams.find(job.description.team);
     if (quota != teams.end() && quota->second.quota != 0
         && claims.runningOf(quota->first) >= quota->second.quota)
