Throttle batch tasks by the latency of the service beside them

The admission shard takes the 99th percentile of the service times of each second and hands it over in one atomic value. The task shard feeds it to the controller, unless the worker's usage shows that batch work used no processors, throttles all tasks and, as the last resort, evicts the task that used the most. Usage is polled once a second while there are tasks, with call ids that have the high bit set. The heartbeat reports the percentage. Templates have the field `weighting` (tail_latency, batch_throughput).

Ruled out: waiting for the usage sample of each window before a decision, because it adds the lag of the usage to that of the latency.

Test on virtual time (service of 100 ms, two tasks that add 100 ms each, target 200 ms): above 40 % throttled and below the target after 20 s, no throttle 40 s after the load has gone; with tasks that disturb also when throttled, 1 eviction in 300 s and 2 in 700 s.

The worker of the matrix now reports usage.

--- a/src/include/plantainpitch/model/work_template.h
+++ b/src/include/plantainpitch/model/work_template.h
@@ -4,6 +4,7 @@
 #include "plantainpitch/model/priority.h"
 #include "plantainpitch/model/resources.h"
 #include "plantainpitch/model/task_kind.h"
+#include "plantainpitch/model/weighting.h"
 
 #include <cstdint>
 #include <string>
@@ -23,6 +24,7 @@
     // Services.
     std::int64_t latencyTargetMs = 200; ///< 99th percentile that the service must meet
     std::int64_t requestTimeoutMs = 2000; ///< used when the caller gives none
+    weighting goal = weighting::tail_latency; ///< against batch work on the same VM
     std::uint32_t slots = 8; ///< requests that one endpoint runs at once
     std::uint32_t connections = 64; ///< connections that one endpoint accepts
     std::uint32_t queueLimit = 32; ///< requests that may wait at one endpoint
--- a/src/include/plantainpitch/policy/interference_placement.h
+++ b/src/include/plantainpitch/policy/interference_placement.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "plantainpitch/model/weighting.h"
 #include "plantainpitch/policy/interference_model.h"
 #include "plantainpitch/policy/placement_policy.h"
-#include "plantainpitch/policy/weighting.h"
 
 namespace plantainpitch {
 
--- a/src/include/plantainpitch/policy/lagged_throttle_options.h
+++ b/src/include/plantainpitch/policy/lagged_throttle_options.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plantainpitch/policy/weighting.h"
+#include "plantainpitch/model/weighting.h"
 
 #include <cstdint>
 
--- a/src/include/plantainpitch/role/request_admission.h
+++ b/src/include/plantainpitch/role/request_admission.h
@@ -25,6 +25,8 @@
     duration rememberedFor = std::chrono::seconds(60);
     /// Bodies of remembered answers; the agent's whole memory is bounded at 128 MB.
     std::size_t rememberedBytes = 16U << 20U;
+    /// Called with the time from each call of the service to its answer or failure.
+    std::function<void(duration)> onServiceTime;
     /// Nothing: queue_admission.
     std::function<std::unique_ptr<admission_policy>()> makeAdmissionPolicy;
 };
--- a/src/include/plantainpitch/role/task_dispatcher.h
+++ b/src/include/plantainpitch/role/task_dispatcher.h
@@ -2,9 +2,9 @@
 
 #include "plantainpitch/log/cell_state.h"
 #include "plantainpitch/model/instant.h"
+#include "plantainpitch/model/weighting.h"
 #include "plantainpitch/policy/batch_order.h"
 #include "plantainpitch/policy/placement_policy.h"
-#include "plantainpitch/policy/weighting.h"
 #include "plantainpitch/role/action.h"
 #include "plantainpitch/role/message/proposal_refused.h"
 #include "plantainpitch/role/record_outcome.h"
--- a/src/libmodel/documents_test.cpp
+++ b/src/libmodel/documents_test.cpp
@@ -41,6 +41,7 @@
     value.queueLimit = 14;
     value.idempotentPaths = { { .method = "PUT", .prefix = "/balances/" } };
     value.expectedRunTimeMs = 15;
+    value.goal = weighting::batch_throughput;
     value.authorityTermMs = 1600;
     value.maxAttempts = 17;
     value.command = "run \"x\"";
@@ -60,6 +61,7 @@
 BOOST_AUTO_TEST_CASE(unknownFieldsAreNamedWithTheirPath)
 {
     BOOST_TEST(faultStartsWith(R"(,"slotz":1)", "slotz"));
+    BOOST_TEST(faultStartsWith(R"(,"weighting":"latency")", "weighting"));
     BOOST_TEST(faultStartsWith(R"(,"task_resources":{"memory":1})", "task_resources.memory"));
     BOOST_TEST(faultStartsWith(R"(,"idempotent_paths":[{"method":"PUT","prefix":"/","x":1}])",
                                "idempotent_paths[0].x"));
--- a/src/libmodel/template_document.cpp
+++ b/src/libmodel/template_document.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::array<const char *, 3> kindNames{ "service", "batch", "watcher" };
 constexpr std::array<const char *, 2> priorityNames{ "normal", "urgent" };
+constexpr std::array<const char *, 2> weightingNames{ "tail_latency", "batch_throughput" };
 
 /// Index of the value in \a names; throws if it is none of them.
 template <std::size_t n>
@@ -86,6 +87,8 @@
     value.latencyTargetMs = reader.integer("latency_target_ms", value.latencyTargetMs, 1, 600'000);
     value.requestTimeoutMs =
             reader.integer("request_timeout_ms", value.requestTimeoutMs, 1, 3'600'000);
+    if (const boost::json::value *name = reader.find("weighting"))
+        value.goal = static_cast<weighting>(indexOf(*name, "weighting", weightingNames));
     value.slots = reader.count("slots", value.slots, 1, 10'000);
     value.connections = reader.count("connections", value.connections, 1, 100'000);
     value.queueLimit = reader.count("queue_limit", value.queueLimit, 0, 100'000);
@@ -145,6 +148,7 @@
             { "task_priority", priorityNames.at(static_cast<std::size_t>(value.taskPriority)) },
             { "latency_target_ms", value.latencyTargetMs },
             { "request_timeout_ms", value.requestTimeoutMs },
+            { "weighting", weightingNames.at(static_cast<std::size_t>(value.goal)) },
             { "slots", value.slots },
             { "connections", value.connections },
             { "queue_limit", value.queueLimit },
--- a/src/librole/admission_state.cpp
+++ b/src/librole/admission_state.cpp
@@ -140,6 +140,9 @@
         return;
     const admitted_request request = std::move(found->second);
     running.erase(found);
+    // A service that answers nothing in time is slow as well.
+    if (options.onServiceTime && result.kind != service_result_kind::connect_failed)
+        options.onServiceTime(now - request.started);
     switch (result.kind) {
     case service_result_kind::answered:
         finish(now, request, result.content);
--- a/src/librole/agent_admission_shard.cpp
+++ b/src/librole/agent_admission_shard.cpp
@@ -4,19 +4,21 @@
 
 namespace {
 
-request_admission_options admissionOptions(const agent_role_options &options)
+request_admission_options admissionOptions(const agent_role_options &options,
+                                           latency_window &latency)
 {
     return { .templateName = options.templateName,
              .slots = options.slots,
              .connections = options.connections,
-             .queueLimit = options.queueLimit };
+             .queueLimit = options.queueLimit,
+             .onServiceTime = [&latency](duration taken) { latency.add(taken); } };
 }
 
 } // namespace
 
 agent_admission_shard::agent_admission_shard(std::shared_ptr<agent_shared> shared)
     : m_shared(std::move(shared))
-    , m_admission(admissionOptions(m_shared->options))
+    , m_admission(admissionOptions(m_shared->options, m_latency))
     , m_slots(m_shared->options.slots)
     , m_queueLimit(m_shared->options.queueLimit)
 {}
@@ -36,6 +38,8 @@
     } else if (std::holds_alternative<timer_tick>(event)) {
         applyLimits();
         m_admission.tick(now);
+        if (const auto window = m_latency.publish(now, m_admission.idle()))
+            m_shared->latencyWindow = window->packed();
     }
     m_shared->running = m_admission.running();
     m_shared->queued = m_admission.queued();
--- a/src/librole/agent_admission_shard.h
+++ b/src/librole/agent_admission_shard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent_shared.h"
+#include "latency_window.h"
 #include "plantainpitch/role/request_admission.h"
 
 #include <memory>
@@ -21,6 +22,7 @@
     void applyLimits();
 
     std::shared_ptr<agent_shared> m_shared;
+    latency_window m_latency;
     request_admission m_admission;
     std::uint32_t m_slots = 0;
     std::uint32_t m_queueLimit = 0;
--- a/src/librole/agent_shared.h
+++ b/src/librole/agent_shared.h
@@ -21,6 +21,8 @@
     std::atomic<std::uint32_t> queueLimit{ 0 }; ///< 0: as in the options
     std::atomic<std::uint64_t> tasks{ 0 };
     std::atomic<std::uint64_t> configRevision{ 0 };
+    /// 99th percentile of the service times of the last window, see latency_window::publish().
+    std::atomic<std::uint64_t> latencyWindow{ 0 };
     std::atomic<bool> draining{ false };
     std::atomic<bool> admissionIdle{ true };
     std::atomic<bool> tasksDrained{ false };
--- a/src/librole/agent_task_shard.cpp
+++ b/src/librole/agent_task_shard.cpp
@@ -32,7 +32,8 @@
     else if (const auto *received = std::get_if<message_received>(&event))
         onMessage(now, *received);
     else if (const auto *workerAnswer = std::get_if<worker_answer>(&event))
-        m_holder.onWorkerAnswer(now, *workerAnswer);
+        batch_throttle::owns(*workerAnswer) ? m_throttle.onUsage(now, *workerAnswer)
+                                            : m_holder.onWorkerAnswer(now, *workerAnswer);
     else if (std::holds_alternative<stop_requested>(event))
         drain(now);
     else if (std::holds_alternative<timer_tick>(event))
@@ -86,17 +87,37 @@
         return;
     m_shared->queueLimit = service->queueLimit;
     m_shared->slots = service->slots;
+    m_throttle.onTemplate(*service);
 }
 
 void agent_task_shard::tick(instant now)
 {
     m_gateways.tick(now);
     m_holder.tick(now);
+    applyThrottle(now);
     if (now - m_lastHeartbeat >= m_shared->options.heartbeatInterval)
         sendHeartbeats(now);
     finishDrain(now);
 }
 
+void agent_task_shard::applyThrottle(instant now)
+{
+    if (const auto call = m_throttle.poll(now, m_holder.taskCount()))
+        m_actions.emplace_back(*call);
+    const std::uint64_t packed = m_shared->latencyWindow;
+    const auto decision = m_throttle.decide(now, service_latency::unpack(packed));
+    if (!decision)
+        return;
+    m_holder.throttle(now, m_throttle.percent());
+    if (!decision->evict)
+        return;
+    if (const auto task = m_throttle.largestTask()) {
+        m_actions.emplace_back(
+                write_log{ log_level::warning, "task_evicted", { { "task", task->toString() } } });
+        m_holder.evict(now, *task);
+    }
+}
+
 void agent_task_shard::drain(instant now)
 {
     if (m_drainStarted)
@@ -173,7 +194,7 @@
              .running = m_shared->running,
              .queued = m_shared->queued,
              .draining = m_shared->draining,
-             .throttlePercent = 0,
+             .throttlePercent = m_throttle.percent(),
              .configRevision = m_config.revision() };
 }
 
--- a/src/librole/agent_task_shard.h
+++ b/src/librole/agent_task_shard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent_shared.h"
+#include "batch_throttle.h"
 #include "gateway_selector.h"
 #include "plantainpitch/log/config_state.h"
 #include "plantainpitch/role/task_holder.h"
@@ -25,6 +26,7 @@
     void onMessage(instant now, const message_received &received);
     void onConfig(const config_update &update);
     void tick(instant now);
+    void applyThrottle(instant now);
     void drain(instant now);
     void sendHeartbeats(instant now);
     void sendAnnouncementIfChanged();
@@ -35,6 +37,7 @@
 
     std::shared_ptr<agent_shared> m_shared;
     task_holder m_holder;
+    batch_throttle m_throttle;
     gateway_selector m_gateways;
     connection_id m_gateway = 0;
     config_state m_config;
--- a/src/librole/task_holder_fakes_test.h
+++ b/src/librole/task_holder_fakes_test.h
@@ -26,6 +26,7 @@
     std::string boot = "boot-1";
     std::int64_t clockUs = 1'000'000;
     resources capacity{ .processorsMilli = 4000, .memoryBytes = 4000, .accelerators = 0 };
+    std::int64_t usedMilli = 1000; ///< processors that every task uses
     std::int64_t lengthMs = 3'000; ///< of every task
     std::map<task_id, run> runs;
     std::vector<worker_call> starts;
@@ -68,6 +69,9 @@
             answer.list = worker_list{ .boot = boot, .capacity = capacity, .rack = "r1" };
             for (const auto &[id, run] : runs)
                 answer.list->tasks.push_back(run.entry);
+        } else if (call.operation == worker_operation::usage) {
+            for (const auto &[id, run] : runs)
+                answer.usage.push_back({ .task = id, .processorsMilli = usedMilli });
         } else if (call.operation == worker_operation::start) {
             start(call, answer);
         } else if (const auto found = runs.find(call.task);
--- a/testsuite/matrix/fake_worker.cpp
+++ b/testsuite/matrix/fake_worker.cpp
@@ -8,6 +8,7 @@
 
 constexpr duration stepTime = std::chrono::milliseconds(10);
 constexpr std::int64_t failAfterMs = 100;
+constexpr std::int64_t usagePeriodUs = 100'000;
 constexpr std::int64_t clockOffsetUs = 7'000'000; ///< no two clocks agree
 
 } // namespace
@@ -112,8 +113,17 @@
         if (it != m_tasks.end() && !runs && it->second.view.state != worker_task_state::running)
             m_tasks.erase(it);
         break;
-    case worker_operation::throttle:
     case worker_operation::usage:
+        for (const auto &[id, item] : m_tasks) {
+            if (item.view.state == worker_task_state::running)
+                answer.usage.push_back({ .task = item.view.task,
+                                         .fromUs = answer.workerClockUs - usagePeriodUs,
+                                         .toUs = answer.workerClockUs,
+                                         .processorsMilli = item.view.reserved.processorsMilli,
+                                         .memoryBytes = item.view.reserved.memoryBytes });
+        }
+        break;
+    case worker_operation::throttle:
         break;
     }
     return answer;
