Count claims, releases by reason, finishes and starts of tasks

Cause: operators watch evictions, and no counter showed them.

Entries count what a folded record changed, so a repeated record counts once; each entry counts all records of its cell that it reads. Agents count starts that the worker accepted. Also forgets the failures of a task that ended by the same record, which stayed in memory for a cancelled job.

Ruled out: evictions in the heartbeat, since that takes a new field in the wire format and the entries have the number from the log.

--- a/src/librole/held_task_events.cpp
+++ b/src/librole/held_task_events.cpp
@@ -193,6 +193,7 @@
     case worker_result::ok:
         m_view = view::running;
         m_viewCallId = m_context.worker.lastCallId();
+        m_context.actions.emplace_back(count_metric{ .name = "task_starts_total" });
         break;
     case worker_result::rejected:
         awaitList();
--- a/src/librole/task_dispatcher.cpp
+++ b/src/librole/task_dispatcher.cpp
@@ -98,25 +98,16 @@
         m_state->revocations.onRevoking(now, *task, known->lastChange);
     else
         m_state->revocations.erase(*task);
-    if (known == nullptr || isFinal(known->phase))
-        m_state->retries.erase(*task);
+    if (known != nullptr && known->lastChange == result.position)
+        m_state->countChange(record);
     if (const auto *sent = m_state->proposals.find(*task);
         sent != nullptr && (known == nullptr || known->lastChange != sent->base))
         m_state->proposals.remove(*task);
     const bool ended = known == nullptr || known->phase != task_phase::claimed;
-    if (!before || !ended)
-        return;
-    if (const auto *released = std::get_if<task_released>(&record)) {
-        if (countsAsFailure(released->reason))
-            m_state->noteFailure(now, *before, *task);
-        else if (released->reason == release_reason::evicted)
-            m_state->learnEviction(before->vm, before->templateName);
-    } else if (std::holds_alternative<task_finished>(record)) {
-        // A claim that was read from a snapshot is older than its reading.
-        if (before->sinceClaim)
-            m_state->sizes.onFinished(before->templateName, (now - before->readAt).count() / 1000);
-        m_state->health.onSuccess(before->vm, before->templateName);
-    }
+    if (before && ended)
+        m_state->onEndOfClaim(now, *before, *task, record);
+    if (known == nullptr || isFinal(known->phase))
+        m_state->retries.erase(*task);
 }
 
 void task_dispatcher::onReset(instant now, const cell_state &cell)
--- a/src/librole/task_dispatcher_state.cpp
+++ b/src/librole/task_dispatcher_state.cpp
@@ -246,6 +246,34 @@
     return true;
 }
 
+void task_dispatcher::state::countChange(const log_record &record)
+{
+    if (const auto *released = std::get_if<task_released>(&record))
+        count("task_releases_total", toString(released->reason));
+    else if (std::holds_alternative<task_claimed>(record))
+        count("task_claims_total");
+    else if (std::holds_alternative<task_finished>(record))
+        count("task_finishes_total");
+    else if (std::holds_alternative<task_failed>(record))
+        count("task_failures_total");
+}
+
+void task_dispatcher::state::onEndOfClaim(instant now, const claim_index::claim &claim,
+                                          const task_id &task, const log_record &record)
+{
+    if (const auto *released = std::get_if<task_released>(&record)) {
+        if (countsAsFailure(released->reason))
+            noteFailure(now, claim, task);
+        else if (released->reason == release_reason::evicted)
+            learnEviction(claim.vm, claim.templateName);
+    } else if (std::holds_alternative<task_finished>(record)) {
+        // A claim that was read from a snapshot is older than its reading.
+        if (claim.sinceClaim)
+            sizes.onFinished(claim.templateName, (now - claim.readAt).count() / 1000);
+        health.onSuccess(claim.vm, claim.templateName);
+    }
+}
+
 void task_dispatcher::state::noteFailure(instant now, const claim_index::claim &claim,
                                          const task_id &task)
 {
--- a/src/librole/task_dispatcher_state.h
+++ b/src/librole/task_dispatcher_state.h
@@ -53,6 +53,10 @@
     [[nodiscard]] std::string verdictOn(const job_state &job, const task_id &task,
                                         const task_state &state) const;
     [[nodiscard]] bool mayQuarantineAnother() const;
+    /// Counts what the fold changed; every entry counts every record of its cell that it reads.
+    void countChange(const log_record &record);
+    void onEndOfClaim(instant now, const claim_index::claim &claim, const task_id &task,
+                      const log_record &record);
     void noteFailure(instant now, const claim_index::claim &claim, const task_id &task);
     void learnEviction(const std::string &vm, const std::string &templateName);
     void giveBack(const proposal_table::proposal &proposal);
--- a/src/librole/task_dispatcher_test.cpp
+++ b/src/librole/task_dispatcher_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace plantainpitch;
 
 namespace {
@@ -86,7 +88,7 @@
                 else if (const auto *record = std::get_if<submit_record>(&output))
                     records.push_back(*record);
                 else if (const auto *metric = std::get_if<count_metric>(&output))
-                    passes += metric->name == "placement_passes_total" ? metric->amount : 0;
+                    counted[metric->name + metric->label] += metric->amount;
             }
         }
     }
@@ -95,7 +97,7 @@
     cell_state cell;
     task_dispatcher dispatcher;
     std::uint64_t offset = 0;
-    std::uint64_t passes = 0;
+    std::map<std::string, std::uint64_t> counted;
     std::vector<std::pair<connection_id, task_proposal>> proposals;
     std::vector<submit_record> records;
 };
@@ -291,14 +293,30 @@
     for (int i = 0; i < 500; ++i)
         submit(1000, "job" + std::to_string(i));
     run(milliseconds(50));
-    passes = 0;
+    counted.clear();
     for (int i = 0; i < 500; ++i)
         put(job_cancelled{ .job = "job" + std::to_string(i) });
     run(milliseconds(50));
-    BOOST_TEST(passes == 1U);
+    BOOST_TEST(counted["placement_passes_total"] == 1U);
     BOOST_TEST(proposals.empty());
 }
 
+// Guards against evictions that no operator sees, and repeated records that count twice.
+BOOST_AUTO_TEST_CASE(changesOfTasksAreCountedOnce)
+{
+    submit();
+    const task_released evicted{ .task = task,
+                                 .attempt = claim("vm1"),
+                                 .reason = release_reason::evicted };
+    put(evicted);
+    put(evicted);
+    put(task_finished{ .task = task, .attempt = claim("vm2") });
+    run(milliseconds(50));
+    BOOST_TEST(counted["task_claims_total"] == 2U);
+    BOOST_TEST(counted["task_releases_totalevicted"] == 1U);
+    BOOST_TEST(counted["task_finishes_total"] == 1U);
+}
+
 // Guards against a cancelled job of a lost holder that stays open for ever.
 BOOST_AUTO_TEST_CASE(cancelledTaskOfALostHolderIsFailedAfterTheWait)
 {
