Print one table of all benchmarks with make bench

Cause: the colocation benchmark was not reachable, the target bench of the Makefile had no rule, and each benchmark printed in its own form.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,10 @@
 demo: build
 	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/demo.py
 
+# Prints one table of all benchmarks; the seeds are fixed.
+bench: build
+	@$(BUILD)/plantain-bench
+
 # A fixed seed and count, so that a run can be repeated and has an end.
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
--- a/src/plantain-bench/colocation_bench.cpp
+++ b/src/plantain-bench/colocation_bench.cpp
@@ -1,5 +1,7 @@
 #include "colocation_bench.h"
 
+#include "bench_report.h"
+
 #include "colocation_model.h"
 
 #include "plantainpitch/policy/evict_on_violation.h"
@@ -10,8 +12,8 @@
 
 #include <algorithm>
 #include <array>
-#include <iomanip>
-#include <ostream>
+#include <memory>
+#include <string>
 #include <vector>
 
 namespace plantainpitch {
@@ -60,15 +62,7 @@
     return values[values.size() / 2];
 }
 
-void print(std::ostream &out, const std::string &measure, double baseline, double policy,
-           const std::string &target, bool met)
-{
-    out << std::left << std::setw(58) << measure << std::right << std::fixed << std::setprecision(4)
-        << std::setw(12) << baseline << std::setw(12) << policy << "  " << std::left
-        << std::setw(24) << target << (met ? "met" : "missed") << '\n';
-}
-
-void compare(std::ostream &out, weighting goal, const std::string &name)
+void compare(bench_report &report, weighting goal, const std::string &name)
 {
     std::vector<double> met;
     std::vector<double> baselineMet;
@@ -87,21 +81,20 @@
         evictions.push_back(static_cast<double>(policy.evictions));
         baselineEvictions.push_back(static_cast<double>(baseline.evictions));
     }
-    print(out, "latency windows met, " + name, median(baselineMet), median(met), ">= 0.99",
-          median(met) >= 0.99);
-    print(out, "batch work against known interference, " + name, median(baselineWork), median(work),
-          ">= 0.85", median(work) >= 0.85);
-    print(out, "evictions in an hour, " + name, median(baselineEvictions), median(evictions),
-          "<= a tenth of baseline", median(evictions) <= 0.1 * median(baselineEvictions));
+    report.add("latency windows met, " + name, median(baselineMet), median(met), ">= 0.99",
+               median(met) >= 0.99);
+    report.add("batch work against known interference, " + name, median(baselineWork), median(work),
+               ">= 0.85", median(work) >= 0.85);
+    report.add("evictions in an hour, " + name, median(baselineEvictions), median(evictions),
+               "<= a tenth of baseline", median(evictions) <= 0.1 * median(baselineEvictions));
 }
 
 } // namespace
 
-void runColocationBench(std::ostream &out)
+void runColocationBench(bench_report &report)
 {
-    out << "colocation: measure, baseline, policy, target, verdict (median of 5 seeds)\n";
-    compare(out, weighting::tail_latency, "tail_latency");
-    compare(out, weighting::batch_throughput, "batch_throughput");
+    compare(report, weighting::tail_latency, "tail_latency");
+    compare(report, weighting::batch_throughput, "batch_throughput");
 }
 
 } // namespace plantainpitch
--- a/src/plantain-bench/fold_bench.cpp
+++ b/src/plantain-bench/fold_bench.cpp
@@ -1,5 +1,7 @@
 #include "fold_bench.h"
 
+#include "bench_report.h"
+
 #include "fold_stream.h"
 
 #include "plantainpitch/log/cell_state.h"
@@ -10,6 +12,7 @@
 #include <iomanip>
 #include <ostream>
 #include <stdexcept>
+#include <string>
 
 namespace plantainpitch {
 
@@ -85,8 +88,9 @@
 }
 
 /// Measures at a constant number of open tasks, as of a cell in operation.
-void runAt(std::ostream &out, std::uint64_t tasks)
+void runAt(bench_report &report, std::uint64_t tasks)
 {
+    std::ostream &out = report.details();
     constexpr std::uint64_t chunk = 20'000;
     out << tasks << " open tasks:\n";
     cell_state state;
@@ -114,15 +118,18 @@
         steady += fold(state, stream.useKeys(chunk / 20));
     }
     print(out, "whole life of tasks, with keys", steady);
+    const double rate = static_cast<double>(steady.records) / steady.seconds / 1e6;
+    report.add("fold, million records/s, " + std::to_string(tasks) + " open tasks", std::nullopt,
+               rate, ">= 1", rate >= 1);
     printSnapshot(out, state);
 }
 
 } // namespace
 
-void runFoldBench(std::ostream &out)
+void runFoldBench(bench_report &report)
 {
     for (const std::uint64_t tasks : { 10'000, 100'000, 400'000 })
-        runAt(out, tasks);
+        runAt(report, tasks);
 }
 
 } // namespace plantainpitch
--- a/src/plantain-bench/main.cpp
+++ b/src/plantain-bench/main.cpp
@@ -1,20 +1,30 @@
+#include "bench_report.h"
+#include "colocation_bench.h"
 #include "fold_bench.h"
 #include "routing_bench.h"
 
 #include <gflags/gflags.h>
 
 #include <iostream>
+#include <ostream>
 
-DEFINE_string(only, "", "run one benchmark: fold or routing; empty: all");
+DEFINE_string(only, "", "run one benchmark: fold, routing or colocation; empty: all");
+DEFINE_bool(details, false, "print what the table does not show on standard error");
 
 int main(int argc, char **argv)
 {
     gflags::SetUsageMessage("measures the policies against their baselines, and the cost of the "
-                            "decisions; each line: measure, baseline, policy, target, verdict");
+                            "decisions; prints measure, baseline, policy, target and verdict");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_only.empty() || FLAGS_only == "fold")
-        plantainpitch::runFoldBench(std::cout);
-    if (FLAGS_only.empty() || FLAGS_only == "routing")
-        plantainpitch::runRoutingBench(std::cout);
+    std::ostream nothing(nullptr);
+    plantainpitch::bench_report report(FLAGS_details ? std::cerr : nothing);
+    const auto wanted = [](const char *name) { return FLAGS_only.empty() || FLAGS_only == name; };
+    if (wanted("fold"))
+        plantainpitch::runFoldBench(report);
+    if (wanted("routing"))
+        plantainpitch::runRoutingBench(report);
+    if (wanted("colocation"))
+        plantainpitch::runColocationBench(report);
+    report.print(std::cout);
     return 0;
 }
--- a/src/plantain-bench/routing_bench.cpp
+++ b/src/plantain-bench/routing_bench.cpp
@@ -1,5 +1,7 @@
 #include "routing_bench.h"
 
+#include "bench_report.h"
+
 #include "plantainpitch/policy/admit_all.h"
 #include "plantainpitch/policy/least_connections.h"
 #include "plantainpitch/policy/no_hedging.h"
@@ -52,23 +54,8 @@
     return options;
 }
 
-void printHeader(std::ostream &out)
-{
-    out << std::left << std::setw(44) << "measure" << std::right << std::setw(12) << "baseline"
-        << std::setw(12) << "policy" << std::setw(12) << "target"
-        << "  result\n";
-}
-
-void printLine(std::ostream &out, const std::string &name, double baseline, double policy,
-               const std::string &target, bool met)
-{
-    out << std::left << std::setw(44) << name << std::right << std::fixed << std::setprecision(3)
-        << std::setw(12) << baseline << std::setw(12) << policy << std::setw(12) << target << "  "
-        << (met ? "met" : "missed") << '\n';
-}
-
 /// Tail latency with slow endpoints: at most half of the baseline's.
-void benchTail(std::ostream &out, const std::string &name, const scenario &make)
+void benchTail(bench_report &report, const std::string &name, const scenario &make)
 {
     const std::vector<measure> measures{
         [](const auto &result) { return result.percentileMs(0.5); },
@@ -79,15 +66,15 @@
     };
     const auto baseline = medians([&make] { return asBaseline(make()); }, measures);
     const auto policy = medians(make, measures);
-    out << name << ": median " << std::fixed << std::setprecision(2) << baseline[0] << " ms and "
-        << policy[0] << " ms, unanswered " << std::setprecision(5) << baseline[3] << " and "
-        << policy[3] << ", added dispatches " << baseline[4] << " and " << policy[4] << '\n';
-    printLine(out, name + ", p99 ms", baseline[1], policy[1], "half", policy[1] * 2 <= baseline[1]);
-    printLine(out, name + ", p99.9 ms", baseline[2], policy[2], "half",
-              policy[2] * 2 <= baseline[2]);
+    report.details() << name << ": median " << std::fixed << std::setprecision(2) << baseline[0]
+                     << " ms and " << policy[0] << " ms, unanswered " << std::setprecision(5)
+                     << baseline[3] << " and " << policy[3] << ", added dispatches " << baseline[4]
+                     << " and " << policy[4] << '\n';
+    report.add(name + ", p99 ms", baseline[1], policy[1], "half", policy[1] * 2 <= baseline[1]);
+    report.add(name + ", p99.9 ms", baseline[2], policy[2], "half", policy[2] * 2 <= baseline[2]);
 }
 
-void benchOverload(std::ostream &out)
+void benchOverload(bench_report &report)
 {
     const auto atLoad = [](double load, bool isBaseline) -> scenario {
         return [load, isBaseline] {
@@ -107,15 +94,15 @@
             peak = std::max(peak, medians(atLoad(load, isBaseline), measures)[0]);
         const auto twice = medians(atLoad(2, isBaseline), measures);
         peak = std::max(peak, twice[0]);
-        out << (isBaseline ? "baseline" : "policy") << ": peak goodput " << std::fixed
-            << std::setprecision(0) << peak << "/s, at twice the capacity " << twice[0] << "/s\n";
+        report.details() << (isBaseline ? "baseline" : "policy") << ": peak goodput " << std::fixed
+                         << std::setprecision(0) << peak << "/s, at twice the capacity " << twice[0]
+                         << "/s\n";
         share[isBaseline ? 0 : 1] = twice[0] / peak;
         added[isBaseline ? 0 : 1] = twice[1];
     }
-    printLine(out, "twice the capacity, goodput / peak", share[0], share[1], ">= 0.9",
-              share[1] >= 0.9);
-    printLine(out, "twice the capacity, added dispatches", added[0], added[1], "<= 0.1",
-              added[1] <= 0.1);
+    report.add("twice the capacity, goodput / peak", share[0], share[1], ">= 0.9", share[1] >= 0.9);
+    report.add("twice the capacity, added dispatches", added[0], added[1], "<= 0.1",
+               added[1] <= 0.1);
 }
 
 /// Nanoseconds of a decision with its bookkeeping.
@@ -139,7 +126,7 @@
     return spent.count() / decisions;
 }
 
-void benchDecision(std::ostream &out)
+void benchDecision(bench_report &report)
 {
     std::array<std::vector<double>, 2> values;
     for (const std::uint64_t seed : seeds) {
@@ -150,30 +137,29 @@
     }
     for (auto &each : values)
         std::sort(each.begin(), each.end());
-    printLine(out, "decision over 1,000 endpoints, us", values[0][2], values[1][2], "<= 2",
-              values[1][2] <= 2);
+    report.add("decision over 1,000 endpoints, us", values[0][2], values[1][2], "<= 2",
+               values[1][2] <= 2);
 }
 
 } // namespace
 
-void runRoutingBench(std::ostream &out)
+void runRoutingBench(bench_report &report)
 {
-    printHeader(out);
-    benchTail(out, "one endpoint ten times slow", [] {
+    benchTail(report, "one endpoint ten times slow", [] {
         return request_model_options{ .slowness = [](std::size_t endpoint, std::int64_t nowMs) {
             return endpoint == 0 && nowMs >= 1000 ? 10.0 : 1.0;
         } };
     });
     // Four of eleven endpoints at a third of their speed, and after 5 s four others.
-    benchTail(out, "wave of noisy tasks", [] {
+    benchTail(report, "wave of noisy tasks", [] {
         return request_model_options{ .slowness = [](std::size_t endpoint, std::int64_t nowMs) {
             const bool first = nowMs >= 1000 && nowMs < 6000 && endpoint < 4;
             const bool second = nowMs >= 6000 && nowMs < 11'000 && endpoint >= 4 && endpoint < 8;
             return first || second ? 3.0 : 1.0;
         } };
     });
-    benchOverload(out);
-    benchDecision(out);
+    benchOverload(report);
+    benchDecision(report);
 }
 
 } // namespace plantainpitch
