--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 settings: build
 	@python3 docs/make-settings.py --build=$(BUILD)
 
+# Prints one table of all benchmarks; the seeds are fixed.
+bench: build
+	@$(BUILD)/plantain-bench
+
 # A fixed seed and count, so that a run can be repeated and has an end.
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
