--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 BUILD ?= build
 
-.PHONY: packages build format format-check lint test sanitize fuzz demo bench soak clean
+.PHONY: packages build format format-check lint test sanitize fuzz demo bench capacity soak clean
 
 packages:
 	@cmake/install-packages.sh
@@ -31,6 +31,12 @@
 demo: build
 	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/demo.py
 
+# Slopes of docs/CAPACITY.md. Needs no more than the benchmark program itself.
+capacity: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target plantain-bench
+	@$(BUILD)/plantain-bench --only=capacity
+
 # A fixed seed and count, so that a run can be repeated and has an end.
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
--- /dev/null
+++ b/src/plantain-bench/capacity_bench.cpp
@@ -0,0 +1,17 @@
+#include "capacity_bench.h"
+
+#include "capacity_parts.h"
+
+namespace plantainpitch {
+
+void runCapacityBench(std::ostream &out)
+{
+    measureMessages(out);
+    measureConfigSpread(out);
+    measureAppends(out);
+    measureMemory(out);
+    measureSnapshots(out);
+    measureDecisions(out);
+}
+
+} // namespace plantainpitch
--- a/src/plantain-bench/fold_bench.cpp
+++ b/src/plantain-bench/fold_bench.cpp
@@ -1,12 +1,10 @@
 #include "fold_bench.h"
 
+#include "bench_meter.h"
 #include "fold_stream.h"
 
 #include "plantainpitch/log/cell_state.h"
 
-#include <malloc.h>
-#include <time.h>
-
 #include <iomanip>
 #include <ostream>
 #include <stdexcept>
@@ -15,21 +13,6 @@
 
 namespace {
 
-/// Processor time of this thread in seconds: what other processes of a shared machine take from the
-/// wall time is not the fold's cost.
-double processorSeconds()
-{
-    timespec now{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
-    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
-}
-
-std::size_t heapBytes()
-{
-    const struct mallinfo2 info = mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 struct fold_cost
 {
     std::uint64_t records = 0;
--- a/src/plantain-bench/main.cpp
+++ b/src/plantain-bench/main.cpp
@@ -1,3 +1,4 @@
+#include "capacity_bench.h"
 #include "fold_bench.h"
 #include "routing_bench.h"
 
@@ -5,7 +6,7 @@
 
 #include <iostream>
 
-DEFINE_string(only, "", "run one benchmark: fold or routing; empty: all");
+DEFINE_string(only, "", "run one benchmark: fold, routing or capacity; empty: all");
 
 int main(int argc, char **argv)
 {
@@ -16,5 +17,7 @@
         plantainpitch::runFoldBench(std::cout);
     if (FLAGS_only.empty() || FLAGS_only == "routing")
         plantainpitch::runRoutingBench(std::cout);
+    if (FLAGS_only.empty() || FLAGS_only == "capacity")
+        plantainpitch::runCapacityBench(std::cout);
     return 0;
 }
