--- a/src/plantain-bench/capacity_appends.cpp
+++ b/src/plantain-bench/capacity_appends.cpp
@@ -154,10 +154,12 @@
 {
     printSlopeHeader(out, title);
     std::vector<std::pair<double, append_costs>> costs;
+    costs.reserve(ratesPerS.size());
     for (const double rate : ratesPerS)
         costs.emplace_back(rate, append_run(make).run(2 * rate));
     const auto row = [&](const char *measure, const char *unit, double append_costs::*field) {
         std::vector<size_sample> samples;
+        samples.reserve(costs.size());
         for (const auto &[rate, cost] : costs)
             samples.push_back({ rate, cost.*field });
         printSlope(out, measure, unit, samples);
--- a/src/plantain-bench/capacity_config.cpp
+++ b/src/plantain-bench/capacity_config.cpp
@@ -61,6 +61,7 @@
 {
     const auto row = [&](const char *measure, const char *unit, double change_costs::*field) {
         std::vector<size_sample> samples;
+        samples.reserve(all.size());
         for (const sized_costs &each : all)
             samples.push_back({ each.size, each.costs.*field });
         printSlope(out, measure, unit + per, samples);
--- a/src/plantain-bench/capacity_loop.cpp
+++ b/src/plantain-bench/capacity_loop.cpp
@@ -146,7 +146,7 @@
             add(m_entry->handleInbox(shard, m_now));
     }
     m_counts.entrySeconds += processorSeconds() - begin;
-    carryOutForEntry(std::move(actions));
+    carryOutForEntry(actions);
 }
 
 void capacity_loop::toAgent(std::size_t index, const agent_event &event)
@@ -156,11 +156,11 @@
         const double begin = processorSeconds();
         action_list actions = role.handle(shard, m_now, event);
         m_counts.agentSeconds += processorSeconds() - begin;
-        carryOutForAgent(index, std::move(actions));
+        carryOutForAgent(index, actions);
     }
 }
 
-void capacity_loop::carryOutForEntry(action_list actions)
+void capacity_loop::carryOutForEntry(const action_list &actions)
 {
     for (const action &item : actions) {
         if (const auto *sent = std::get_if<send_message>(&item)) {
@@ -176,7 +176,7 @@
     }
 }
 
-void capacity_loop::carryOutForAgent(std::size_t index, action_list actions)
+void capacity_loop::carryOutForAgent(std::size_t index, const action_list &actions)
 {
     for (const action &item : actions) {
         if (const auto *sent = std::get_if<send_message>(&item)) {
--- a/src/plantain-bench/capacity_loop.h
+++ b/src/plantain-bench/capacity_loop.h
@@ -64,8 +64,8 @@
     void deliverAll();
     void toEntry(const entry_event &event);
     void toAgent(std::size_t index, const agent_event &event);
-    void carryOutForEntry(action_list actions);
-    void carryOutForAgent(std::size_t index, action_list actions);
+    void carryOutForEntry(const action_list &actions);
+    void carryOutForAgent(std::size_t index, const action_list &actions);
     std::string encode(const message &content, traffic &direction);
 
     capacity_log m_log;
@@ -74,7 +74,6 @@
     std::deque<std::pair<std::size_t, std::string>> m_framesToEntry; ///< by agent
     std::deque<std::pair<std::size_t, std::string>> m_framesToAgents;
     std::uint64_t m_submitted = 0;
-    std::uint64_t m_published = 0;
     instant m_now{ std::chrono::hours(1) };
     loop_counts m_counts;
 };
--- a/src/plantain-bench/capacity_messages.cpp
+++ b/src/plantain-bench/capacity_messages.cpp
@@ -105,6 +105,7 @@
 {
     const auto row = [&](const char *measure, const char *unit, double steady_costs::*field) {
         std::vector<size_sample> samples;
+        samples.reserve(costs.size());
         for (const auto &[tasks, cost] : costs)
             samples.push_back({ static_cast<double>(tasks), cost.*field });
         printSlope(out, measure, unit, samples);
@@ -124,6 +125,7 @@
                    std::size_t tasks)
 {
     std::vector<size_sample> samples;
+    samples.reserve(costs.size());
     for (const auto &[agents, byTasks] : costs)
         samples.push_back({ static_cast<double>(agents), byTasks.at(tasks).entryMs });
     printSlope(out, "entry processor time, " + std::to_string(tasks) + " tasks an agent",
