Send what was read of the configuration as one update, searched once

An entry pushed after each folded change and searched the whole configuration for each agent: the cost was changes x agents x entities. The new test fails without the change (3 updates instead of 1).

--- /dev/null
+++ b/src/librole/config_push_test.cpp
@@ -0,0 +1,139 @@
+// Configuration that an entry sends to its agents after it read the log.
+
+#include "plantainpitch/role/entry_role.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+namespace plantainpitch {
+
+namespace {
+
+config_change templateChange(const std::string &name)
+{
+    return { .name = name, .document = R"({"version":1,"name":")" + name + R"(","kind":"batch"})" };
+}
+
+struct entry_fixture
+{
+    entry_role entry{ { .name = "e1", .dataCentre = "d1", .cell = "r1", .incarnation = 1 }, 1 };
+    instant now{ std::chrono::seconds(10) };
+    std::vector<record_batch> configStream;
+    std::vector<send_message> sent;
+
+    /// Adds a batch of one change, which is read at the next tick.
+    void publish(const std::string &name)
+    {
+        configStream.push_back({ .producer = 9,
+                                 .sequence = configStream.size() + 1,
+                                 .records = { templateChange(name) } });
+    }
+
+    void connect(connection_id connection, log_position known)
+    {
+        handle(connection_opened{ connection, { .name = "vm", .incarnation = connection } });
+        handle(message_received{ connection, announce{ .vm = "vm" + std::to_string(connection),
+                                                       .incarnation = connection,
+                                                       .configRevision = known } });
+    }
+
+    /// Lets the entry read what is in the log; returns the updates that it sent meanwhile.
+    std::vector<config_update> poll(connection_id connection)
+    {
+        sent.clear();
+        for (int i = 0; i < 10; ++i) {
+            now += std::chrono::milliseconds(50);
+            handle(timer_tick{});
+        }
+        return updatesTo(connection);
+    }
+
+    [[nodiscard]] std::vector<config_update> updatesTo(connection_id connection) const
+    {
+        std::vector<config_update> updates;
+        for (const send_message &item : sent) {
+            const auto *update = std::get_if<config_update>(&item.content);
+            if (item.connection == connection && update)
+                updates.push_back(*update);
+        }
+        return updates;
+    }
+
+    void handle(const entry_event &event)
+    {
+        for (const action &item : entry.handle(0, now, event)) {
+            if (const auto *message = std::get_if<send_message>(&item))
+                sent.push_back(*message);
+            else if (const auto *read = std::get_if<read_call>(&item))
+                handle(answerTo(*read));
+        }
+    }
+
+    [[nodiscard]] read_answer answerTo(const read_call &call) const
+    {
+        read_answer answer{ .callId = call.callId, .stream = call.stream, .ok = true };
+        if (call.stream != "config")
+            return answer;
+        answer.next = configStream.size();
+        for (std::uint64_t offset = call.fromOffset; offset < answer.next; ++offset)
+            answer.batches.push_back({ offset, configStream[offset] });
+        return answer;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(config_push, entry_fixture)
+
+// Guards against a message for each record: a peak of changes would be sent, and the whole
+// configuration searched, once for each record and agent.
+BOOST_AUTO_TEST_CASE(changes_of_one_read_are_one_update)
+{
+    poll(1);
+    connect(1, {});
+    for (const char *name : { "a", "b", "c" })
+        publish(name);
+    const auto updates = poll(1);
+    BOOST_REQUIRE_EQUAL(updates.size(), 1U);
+    BOOST_REQUIRE_EQUAL(updates[0].entities.size(), 3U);
+    BOOST_TEST(updates[0].entities[0].name == "a");
+    BOOST_TEST(updates[0].entities[2].name == "c");
+    BOOST_TEST((updates[0].revision == log_position::of(2, 0)));
+    BOOST_TEST(poll(1).empty());
+}
+
+// Guards against the update of one agent being sent to another that lacks more.
+BOOST_AUTO_TEST_CASE(each_agent_gets_what_it_lacks)
+{
+    publish("a");
+    connect(1, log_position::of(0, 0));
+    connect(2, {});
+    publish("b");
+    const auto ofFirst = poll(1);
+    BOOST_REQUIRE_EQUAL(ofFirst.size(), 1U);
+    BOOST_REQUIRE_EQUAL(ofFirst[0].entities.size(), 1U);
+    BOOST_TEST(ofFirst[0].entities[0].name == "b");
+    const auto ofSecond = updatesTo(2);
+    BOOST_REQUIRE_EQUAL(ofSecond.size(), 1U);
+    BOOST_TEST(ofSecond[0].entities.size() == 2U);
+}
+
+// Guards against an agent that connects between two changes and stays without the older ones.
+BOOST_AUTO_TEST_CASE(new_agent_gets_everything)
+{
+    publish("a");
+    publish("b");
+    poll(1);
+    sent.clear();
+    connect(1, {});
+    BOOST_REQUIRE(!sent.empty());
+    const auto *update = std::get_if<config_update>(&sent.back().content);
+    BOOST_REQUIRE(update != nullptr);
+    BOOST_TEST(update->entities.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace plantainpitch
--- a/src/librole/entry_control_streams.cpp
+++ b/src/librole/entry_control_streams.cpp
@@ -3,6 +3,8 @@
 #include "entry_control.h"
 #include "entry_router_shard.h"
 
+#include <map>
+
 namespace plantainpitch::detail {
 
 namespace {
@@ -23,6 +25,10 @@
             });
     if (configReset)
         publishAllTemplates();
+    // Once for everything that was read: a push for each record would send each agent a message
+    // for each record, and search the whole configuration for each of them.
+    if (config().revision() > m_pushedRevision)
+        pushConfig();
     const bool cellReset = m_cell.fold(
             [this](const log_record &record, const fold_result &result,
                    std::optional<std::uint64_t> ticket) { onCellFolded(record, result, ticket); });
@@ -40,7 +46,6 @@
     if (const auto *change = std::get_if<config_change>(&record); change && result.accepted) {
         if (const config_entity *entity = config().findEntity(change->kind, change->name))
             publishTemplate(*entity);
-        pushConfig();
     }
     if (!ticket)
         return;
@@ -122,11 +127,19 @@
 void entry_control::pushConfig()
 {
     const log_position revision = config().revision();
+    m_pushedRevision = revision;
+    // Nearly all agents have the same revision, so the configuration is searched once for them.
+    std::map<log_position, config_update> updates;
     for (auto &[connection, agent] : m_agents.all()) {
         if (agent.configSent >= revision)
             continue;
-        emit(send_message{ connection,
-                           config_update{ revision, config().changedSince(agent.configSent) } });
+        auto known = updates.find(agent.configSent);
+        if (known == updates.end())
+            known = updates.emplace(agent.configSent,
+                                    config_update{ revision,
+                                                   config().changedSince(agent.configSent) })
+                            .first;
+        emit(send_message{ connection, known->second });
         agent.configSent = revision;
     }
 }
