--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,12 @@
 demo: build
 	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/demo.py
 
-# Slopes of docs/CAPACITY.md. Needs no more than the benchmark program itself.
+# Slopes of docs/CAPACITY.md.
 capacity: packages
 	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
-	@cmake --build $(BUILD) -j $(JOBS) --target plantain-bench
+	@cmake --build $(BUILD) -j $(JOBS)
 	@$(BUILD)/plantain-bench --only=capacity
+	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/capacity_processes.py
 
 # A fixed seed and count, so that a run can be repeated and has an end.
 FUZZ_RUNS ?= 200000
--- a/src/plantain-bench/capacity_loop.cpp
+++ b/src/plantain-bench/capacity_loop.cpp
@@ -97,6 +97,14 @@
     return sum;
 }
 
+void capacity_loop::loseVms(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        m_agents[i] = {};
+        toEntry(connection_closed{ .connection = i + 1 });
+    }
+}
+
 void capacity_loop::dropAgents()
 {
     for (simulated_agent &agent : m_agents)
@@ -151,6 +159,8 @@
 
 void capacity_loop::toAgent(std::size_t index, const agent_event &event)
 {
+    if (!m_agents[index].role)
+        return;
     agent_role &role = *m_agents[index].role;
     for (const std::size_t shard : role.shardsOf(event)) {
         const double begin = processorSeconds();
--- a/src/plantain-bench/capacity_loop.h
+++ b/src/plantain-bench/capacity_loop.h
@@ -48,6 +48,8 @@
 
     [[nodiscard]] const loop_counts &counts() const { return m_counts; }
     [[nodiscard]] const capacity_log &log() const { return m_log; }
+    /// VMs with the lowest numbers fail, and their connections break.
+    void loseVms(std::size_t count);
     /// Ends the agents; what the heap shrinks by is their memory.
     void dropAgents();
     void dropEntry() { m_entry.reset(); }
