Split configuration updates that exceed a frame

A message above 1 MB is not sent (shell_core counts and logs it), but the entry took it as sent: an agent that connected while the configuration was larger than that stayed without it. Updates now carry at most 256 KB of names and documents, in revision order, so that an interrupted transfer goes on where it stopped. The queue limit of a connection, 16 MB, still ends a larger transfer; the agent connects again and announces what it has.

--- a/src/librole/config_push_test.cpp
+++ b/src/librole/config_push_test.cpp
@@ -11,9 +11,11 @@
 
 namespace {
 
-config_change templateChange(const std::string &name)
+config_change templateChange(const std::string &name, const std::string &command)
 {
-    return { .name = name, .document = R"({"version":1,"name":")" + name + R"(","kind":"batch"})" };
+    return { .name = name,
+             .document = R"({"version":1,"name":")" + name + R"(","kind":"batch","command":")"
+                         + command + R"("})" };
 }
 
 struct entry_fixture
@@ -24,11 +26,11 @@
     std::vector<send_message> sent;
 
     /// Adds a batch of one change, which is read at the next tick.
-    void publish(const std::string &name)
+    void publish(const std::string &name, const std::string &command = {})
     {
         configStream.push_back({ .producer = 9,
                                  .sequence = configStream.size() + 1,
-                                 .records = { templateChange(name) } });
+                                 .records = { templateChange(name, command) } });
     }
 
     void connect(connection_id connection, log_position known)
@@ -134,6 +136,32 @@
     BOOST_TEST(update->entities.size() == 2U);
 }
 
+// Guards against an update above the frame limit of 1 MB, which is not sent: a new agent would
+// stay without any configuration.
+BOOST_AUTO_TEST_CASE(large_configuration_is_split)
+{
+    constexpr int documents = 600;
+    for (int i = 0; i < documents; ++i)
+        publish("t" + std::to_string(i), std::string(4000, 'x'));
+    poll(1);
+    sent.clear();
+    connect(1, {});
+    std::size_t entities = 0;
+    log_position last;
+    for (const config_update &update : updatesTo(1)) {
+        std::size_t bytes = 0;
+        for (const config_entity &entity : update.entities) {
+            BOOST_TEST((entity.revision > last));
+            last = entity.revision;
+            bytes += entity.document.size();
+        }
+        BOOST_TEST(bytes <= 256U * 1024);
+        BOOST_TEST((update.revision == last));
+        entities += update.entities.size();
+    }
+    BOOST_TEST(entities == std::size_t(documents));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace plantainpitch
--- a/src/librole/entry_control_streams.cpp
+++ b/src/librole/entry_control_streams.cpp
@@ -14,6 +14,28 @@
 constexpr duration snapshotInterval = std::chrono::minutes(10);
 constexpr duration snapshotCheckInterval = std::chrono::seconds(1);
 
+/// Payload of one update. A message above the frame limit of 1 MB is not sent, and the agent would
+/// stay without the configuration.
+constexpr std::size_t maxUpdateBytes = std::size_t(256) * 1024;
+
+/// Updates of bounded size, in revision order: an agent that has got the first ones only, and
+/// connects again, announces the revision from which the rest is missing.
+std::vector<config_update> splitUpdate(std::vector<config_entity> entities)
+{
+    std::vector<config_update> updates;
+    std::size_t bytes = 0;
+    for (config_entity &entity : entities) {
+        bytes += entity.name.size() + entity.document.size();
+        if (updates.empty() || bytes > maxUpdateBytes) {
+            updates.emplace_back();
+            bytes = entity.name.size() + entity.document.size();
+        }
+        updates.back().revision = entity.revision;
+        updates.back().entities.push_back(std::move(entity));
+    }
+    return updates;
+}
+
 } // namespace
 
 void entry_control::followStreams()
@@ -129,17 +151,17 @@
     const log_position revision = config().revision();
     m_pushedRevision = revision;
     // Nearly all agents have the same revision, so the configuration is searched once for them.
-    std::map<log_position, config_update> updates;
+    std::map<log_position, std::vector<config_update>> updates;
     for (auto &[connection, agent] : m_agents.all()) {
         if (agent.configSent >= revision)
             continue;
         auto known = updates.find(agent.configSent);
         if (known == updates.end())
             known = updates.emplace(agent.configSent,
-                                    config_update{ revision,
-                                                   config().changedSince(agent.configSent) })
+                                    splitUpdate(config().changedSince(agent.configSent)))
                             .first;
-        emit(send_message{ connection, known->second });
+        for (const config_update &update : known->second)
+            emit(send_message{ connection, update });
         agent.configSent = revision;
     }
 }
