Revoke the claims of lost VMs in a busy cell, and pass only for new room

Each heartbeat of a VM made the next tick a pass over all tasks and VMs, and each pass put off the check for lost VMs. Folded records at each tick had the same effect; the new test lostVmIsRevokedInABusyCell failed with 0 revocations. The check has a time of its own now. A heartbeat causes a pass only if the VM may take more than before.

The benchmark spreads the heartbeats over their interval: all agents had started in the same tick, which hid both faults. It also measures a backlog.

--- a/src/librole/task_dispatcher.cpp
+++ b/src/librole/task_dispatcher.cpp
@@ -24,6 +24,14 @@
             record);
 }
 
+/// True if a task that found no room may find it on the VM now.
+bool mayTakeMore(const vm_info &before, const vm_info &after)
+{
+    return before.agent != after.agent || before.workerBoot != after.workerBoot
+           || (before.draining && !after.draining) || !after.available.fitsIn(before.available)
+           || !after.capacity.fitsIn(before.capacity);
+}
+
 } // namespace
 
 task_dispatcher::task_dispatcher(task_dispatcher_options options, std::uint64_t seed)
@@ -57,8 +65,12 @@
 void task_dispatcher::onVm(instant now, const vm_info &vm)
 {
     (void)now;
+    const vm_info *known = m_state->vms.find(vm.vm);
+    // Heartbeats of thousands of VMs would make each tick a pass over all tasks and VMs; what only
+    // changes the order of preference waits for the next regular pass.
+    if (known == nullptr || mayTakeMore(*known, vm))
+        m_state->dirty = true;
     m_state->vms.update(vm, m_state->proposals.promisedTo(vm.vm));
-    m_state->dirty = true;
 }
 
 void task_dispatcher::onVmGone(instant now, const std::string &vm)
@@ -142,9 +154,13 @@
         m_state->count("proposal_refusals_total", "timeout");
         m_state->dirty = true;
     }
-    const bool due = now >= m_state->lastPass + passInterval;
-    if (due)
+    // Has a time of its own: in a busy cell each tick is a pass, and passes would put the check off
+    // for ever.
+    if (now >= m_state->lastLostCheck + passInterval) {
+        m_state->lastLostCheck = now;
         m_state->revokeLost(now, cell);
+    }
+    const bool due = now >= m_state->lastPass + passInterval;
     // One pass covers everything that was folded since the last tick, e.g. a burst of
     // cancellations.
     if (m_state->dirty || due)
--- a/src/librole/task_dispatcher_state.h
+++ b/src/librole/task_dispatcher_state.h
@@ -69,6 +69,7 @@
     std::unique_ptr<placement_policy> placement;
     bool dirty = true;
     instant lastPass{ duration::min() / 2 };
+    instant lastLostCheck{ duration::min() / 2 };
 };
 
 } // namespace plantainpitch
--- a/src/librole/task_dispatcher_test.cpp
+++ b/src/librole/task_dispatcher_test.cpp
@@ -93,6 +93,54 @@
 
 BOOST_FIXTURE_TEST_SUITE(dispatcher, fixture)
 
+// Guards against a pass over all tasks and VMs at each tick, which the heartbeats of a large cell
+// caused, and against a VM whose room is seen late.
+BOOST_AUTO_TEST_CASE(onlyRoomMakesAPassAtOnce)
+{
+    submit(1500);
+    const auto report = [&](const std::string &vm, std::int64_t free, std::uint32_t requests) {
+        dispatcher.onVm(now, { .connection = vm == "vm1" ? 11U : 12U,
+                               .vm = vm,
+                               .rack = vm,
+                               .workerBoot = "b",
+                               .capacity = { .processorsMilli = 2000 },
+                               .available = { .processorsMilli = free },
+                               .runningRequests = requests });
+    };
+    report("vm1", 1000, 0);
+    report("vm2", 1000, 0);
+    run(milliseconds(50));
+    BOOST_TEST(proposals.empty());
+    passes = 0;
+    for (std::uint32_t requests = 0; requests < 8; ++requests) {
+        report("vm1", 1000 - requests, requests);
+        run(milliseconds(50));
+    }
+    BOOST_TEST(passes == 0U);
+    report("vm1", 2000, 0);
+    run(milliseconds(50));
+    BOOST_TEST(passes == 1U);
+    BOOST_REQUIRE(proposals.size() == 1U);
+    BOOST_TEST(proposals[0].first == 11U);
+}
+
+// Guards against claims of a lost VM that are never revoked, because each tick of a busy cell is a
+// pass and the check for lost VMs waits for a time without one.
+BOOST_AUTO_TEST_CASE(lostVmIsRevokedInABusyCell)
+{
+    submit();
+    claim("vm1");
+    dispatcher.onVmGone(now, "vm1");
+    std::size_t revocations = 0;
+    for (int i = 0; i < 80; ++i) {
+        submit(1000, "other" + std::to_string(i));
+        run(milliseconds(50));
+        for (const submit_record &record : records)
+            revocations += std::holds_alternative<task_revoked>(record.record) ? 1U : 0U;
+    }
+    BOOST_TEST(revocations == 1U);
+}
+
 // Guards against two proposals of a task at once, and one that is never repeated.
 BOOST_AUTO_TEST_CASE(oneProposalAtATimeThenAnotherVm)
 {
--- a/src/plantain-bench/capacity_bench.cpp
+++ b/src/plantain-bench/capacity_bench.cpp
@@ -8,6 +8,7 @@
 {
     measureMessages(out);
     measureConfigSpread(out);
+    measureBacklog(out);
     measureLoss(out);
     measureAppends(out);
     measureMemory(out);
--- a/src/plantain-bench/capacity_loop.cpp
+++ b/src/plantain-bench/capacity_loop.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration tickInterval = std::chrono::milliseconds(50);
+constexpr std::size_t ticksPerHeartbeat = 10;
 constexpr std::int64_t startMs = 1'900'000'000'000;
 
 entry_role_options entryOptions()
@@ -37,6 +38,9 @@
         m_agents.push_back(
                 { .role = std::make_unique<agent_role>(agentOptions(i), i), .worker = {} });
         connectAgent(i);
+        // Spreads the heartbeats over their interval, as those of independent processes are.
+        if ((i + 1) % std::max<std::size_t>(1, agents / ticksPerHeartbeat) == 0)
+            tick();
     }
     run(std::chrono::seconds(5));
 }
@@ -63,7 +67,7 @@
         tick();
 }
 
-void capacity_loop::submitJobs(std::size_t tasks)
+void capacity_loop::submitJobs(std::size_t tasks, std::int64_t processorsMilli)
 {
     std::vector<log_record> records;
     for (std::size_t i = 0; i < tasks; ++i)
@@ -73,7 +77,7 @@
                 .account = "fondo-solidario-0042",
                 .team = "payouts",
                 .taskCount = 1,
-                .taskResources = { .processorsMilli = 500,
+                .taskResources = { .processorsMilli = processorsMilli,
                                    .memoryBytes = std::int64_t(1) << 30U,
                                    .accelerators = 0 },
                 .submittedMs = startMs,
--- a/src/plantain-bench/capacity_loop.h
+++ b/src/plantain-bench/capacity_loop.h
@@ -41,8 +41,8 @@
     explicit capacity_loop(std::size_t agents);
 
     void run(duration length);
-    /// Adds a job with one small task for each of \a tasks.
-    void submitJobs(std::size_t tasks);
+    /// Adds a job with one task for each of \a tasks; a VM has 32,000 processorsMilli.
+    void submitJobs(std::size_t tasks, std::int64_t processorsMilli = 500);
     void publish(const std::string &name, std::size_t documentBytes);
     [[nodiscard]] std::size_t runningTasks() const;
 
--- a/src/plantain-bench/capacity_loss.cpp
+++ b/src/plantain-bench/capacity_loss.cpp
@@ -53,8 +53,10 @@
 void measureLoss(std::ostream &out)
 {
     std::vector<std::pair<double, loss_costs>> costs;
-    for (const std::size_t agents : { 100, 400, 1200 })
-        costs.emplace_back(static_cast<double>(agents / 4 * tasksPerVm), lose(agents));
+    for (const std::size_t agents : { 100, 400, 1200 }) {
+        const std::size_t lost = agents / 4;
+        costs.emplace_back(static_cast<double>(lost * tasksPerVm), lose(agents));
+    }
     printSlopeHeader(out, "a quarter of the VMs fails, one entry; size: tasks to move");
     const auto row = [&](const char *measure, const char *unit, double loss_costs::*field) {
         std::vector<size_sample> samples;
