--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 JOBS ?= $(shell nproc)
 BUILD ?= build
 
-.PHONY: packages build format format-check lint test sanitize fuzz demo bench soak settings clean
+.PHONY: packages build format format-check lint test sanitize fuzz demo bench capacity soak
+.PHONY: settings mutations clean
 
 packages:
 	@cmake/install-packages.sh
@@ -38,6 +39,13 @@
 bench: build
 	@$(BUILD)/plantain-bench
 
+# Slopes of docs/CAPACITY.md.
+capacity: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+	@$(BUILD)/plantain-bench --only=capacity
+	@PLANTAIN_BUILD=$(BUILD) python3 testsuite/capacity_processes.py
+
 # A fixed seed and count, so that a run can be repeated and has an end.
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
--- a/src/librole/entry_control.h
+++ b/src/librole/entry_control.h
@@ -94,6 +94,7 @@
     authority_service m_authorities;
     task_dispatcher m_dispatcher;
     admin_api m_admin;
+    log_position m_pushedRevision;
     std::uint64_t m_lastMarker = 0;
     std::vector<std::string> m_liveEntries;
     instant m_now;
--- a/src/librole/entry_control_streams.cpp
+++ b/src/librole/entry_control_streams.cpp
@@ -3,6 +3,8 @@
 #include "entry_control.h"
 #include "entry_router_shard.h"
 
+#include <map>
+
 namespace plantainpitch::detail {
 
 namespace {
@@ -12,21 +14,26 @@
 constexpr duration snapshotInterval = std::chrono::minutes(10);
 constexpr duration snapshotCheckInterval = std::chrono::seconds(1);
 
-/// A message between processes holds at most 1 MB.
-constexpr std::size_t maxUpdateBytes = 512UL * 1024;
+/// Payload of one update. A message above the frame limit of 1 MB is not sent, and the agent would
+/// stay without the configuration.
+constexpr std::size_t maxUpdateBytes = std::size_t(256) * 1024;
 
-/// Cuts the update where it gets too large; the next one goes on from its revision.
-void limitUpdate(config_update &update)
+/// Updates of bounded size, in revision order: an agent that has got the first ones only, and
+/// connects again, announces the revision from which the rest is missing.
+std::vector<config_update> splitUpdate(std::vector<config_entity> entities)
 {
+    std::vector<config_update> updates;
     std::size_t bytes = 0;
-    for (std::size_t i = 0; i < update.entities.size(); ++i) {
-        bytes += update.entities[i].name.size() + update.entities[i].document.size();
-        if (bytes <= maxUpdateBytes || i == 0)
-            continue;
-        update.entities.resize(i);
-        update.revision = update.entities.back().revision;
-        return;
+    for (config_entity &entity : entities) {
+        bytes += entity.name.size() + entity.document.size();
+        if (updates.empty() || bytes > maxUpdateBytes) {
+            updates.emplace_back();
+            bytes = entity.name.size() + entity.document.size();
+        }
+        updates.back().revision = entity.revision;
+        updates.back().entities.push_back(std::move(entity));
     }
+    return updates;
 }
 
 } // namespace
@@ -40,6 +47,10 @@
             });
     if (configReset)
         publishAllTemplates();
+    // Once for everything that was read: a push for each record would send each agent a message
+    // for each record, and search the whole configuration for each of them.
+    if (config().revision() > m_pushedRevision)
+        pushConfig();
     const bool cellReset = m_cell.fold(
             [this](const log_record &record, const fold_result &result,
                    std::optional<std::uint64_t> ticket) { onCellFolded(record, result, ticket); });
@@ -56,7 +67,6 @@
     if (const auto *change = std::get_if<config_change>(&record); change && result.accepted) {
         if (const config_entity *entity = config().findEntity(change->kind, change->name))
             publishTemplate(*entity);
-        pushConfig();
     }
     if (!ticket)
         return;
@@ -148,13 +158,20 @@
 void entry_control::pushConfig()
 {
     const log_position revision = config().revision();
+    m_pushedRevision = revision;
+    // Nearly all agents have the same revision, so the configuration is searched once for them.
+    std::map<log_position, std::vector<config_update>> updates;
     for (auto &[connection, agent] : m_agents.all()) {
         if (agent.configSent >= revision)
             continue;
-        config_update update = { revision, config().changedSince(agent.configSent) };
-        limitUpdate(update);
-        agent.configSent = update.revision;
-        emit(send_message{ connection, std::move(update) });
+        auto known = updates.find(agent.configSent);
+        if (known == updates.end())
+            known = updates.emplace(agent.configSent,
+                                    splitUpdate(config().changedSince(agent.configSent)))
+                            .first;
+        for (const config_update &update : known->second)
+            emit(send_message{ connection, update });
+        agent.configSent = revision;
     }
 }
 
