--- a/src/include/plantainpitch/runtime/error_response.h
+++ b/src/include/plantainpitch/runtime/error_response.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plantainpitch/model/error_kind.h"
 #include "plantainpitch/runtime/http_response.h"
 
 #include <string>
@@ -10,4 +11,10 @@
 http_response errorResponse(unsigned status, const std::string &kind, const std::string &message,
                             const std::string &remedy);
 
+inline http_response errorResponse(unsigned status, error_kind kind, const std::string &message,
+                                   const std::string &remedy)
+{
+    return errorResponse(status, std::string(toString(kind)), message, remedy);
+}
+
 } // namespace plantainpitch::runtime
--- a/src/librole/admission_state.cpp
+++ b/src/librole/admission_state.cpp
@@ -1,6 +1,6 @@
-#include "detail/admission_state.h"
+#include "admission_state.h"
 
-#include "detail/answer_checksum.h"
+#include "answer_checksum.h"
 #include "plantainpitch/policy/queue_admission.h"
 
 #include <algorithm>
--- a/src/librole/answer_checksum.cpp
+++ b/src/librole/answer_checksum.cpp
@@ -1,4 +1,4 @@
-#include "detail/answer_checksum.h"
+#include "answer_checksum.h"
 
 #include <boost/crc.hpp>
 
--- a/src/librole/endpoint_table.cpp
+++ b/src/librole/endpoint_table.cpp
@@ -1,4 +1,4 @@
-#include "detail/endpoint_table.h"
+#include "endpoint_table.h"
 
 namespace plantainpitch::detail {
 
--- a/src/librole/key_guard.cpp
+++ b/src/librole/key_guard.cpp
@@ -1,4 +1,4 @@
-#include "detail/key_guard.h"
+#include "key_guard.h"
 
 #include <string_view>
 #include <utility>
--- a/src/librole/outcome_text.cpp
+++ b/src/librole/outcome_text.cpp
@@ -1,4 +1,4 @@
-#include "detail/outcome_text.h"
+#include "outcome_text.h"
 
 #include <algorithm>
 #include <array>
--- a/src/librole/remembered_requests.cpp
+++ b/src/librole/remembered_requests.cpp
@@ -1,4 +1,4 @@
-#include "detail/remembered_requests.h"
+#include "remembered_requests.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/librole/request_admission.cpp
+++ b/src/librole/request_admission.cpp
@@ -1,6 +1,6 @@
 #include "plantainpitch/role/request_admission.h"
 
-#include "detail/admission_state.h"
+#include "admission_state.h"
 
 #include <utility>
 
--- a/src/librole/request_admission_test.cpp
+++ b/src/librole/request_admission_test.cpp
@@ -1,6 +1,6 @@
 #include "plantainpitch/role/request_admission.h"
 
-#include "detail/answer_checksum.h"
+#include "answer_checksum.h"
 #include "plantainpitch/policy/queue_admission.h"
 
 #include <boost/test/unit_test.hpp>
--- a/src/librole/request_router.cpp
+++ b/src/librole/request_router.cpp
@@ -1,6 +1,6 @@
 #include "plantainpitch/role/request_router.h"
 
-#include "detail/router_state.h"
+#include "router_state.h"
 
 #include <boost/json.hpp>
 
--- a/src/librole/request_router_test.cpp
+++ b/src/librole/request_router_test.cpp
@@ -1,6 +1,6 @@
 #include "plantainpitch/role/request_router.h"
 
-#include "detail/answer_checksum.h"
+#include "answer_checksum.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/src/librole/router_endpoints.cpp
+++ b/src/librole/router_endpoints.cpp
@@ -1,4 +1,4 @@
-#include "detail/router_state.h"
+#include "router_state.h"
 
 namespace plantainpitch {
 
--- a/src/librole/router_messages.cpp
+++ b/src/librole/router_messages.cpp
@@ -1,6 +1,6 @@
-#include "detail/router_state.h"
+#include "router_state.h"
 
-#include "detail/answer_checksum.h"
+#include "answer_checksum.h"
 
 namespace plantainpitch {
 
--- a/src/librole/router_requests.cpp
+++ b/src/librole/router_requests.cpp
@@ -1,6 +1,6 @@
-#include "detail/router_state.h"
+#include "router_state.h"
 
-#include "detail/outcome_text.h"
+#include "outcome_text.h"
 
 #include <algorithm>
 
--- a/src/librole/router_service.cpp
+++ b/src/librole/router_service.cpp
@@ -1,4 +1,4 @@
-#include "detail/router_service.h"
+#include "router_service.h"
 
 #include <algorithm>
 
--- a/src/librole/router_state.cpp
+++ b/src/librole/router_state.cpp
@@ -1,4 +1,4 @@
-#include "detail/router_state.h"
+#include "router_state.h"
 
 #include "plantainpitch/policy/percentile_hedging.h"
 #include "plantainpitch/policy/token_bucket.h"
--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -1,6 +1,6 @@
 #include "http_connection.h"
 
-#include "plantainpitch/runtime/http_error.h"
+#include "plantainpitch/runtime/error_response.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
--- a/testsuite/matrix/matrix_case.cpp
+++ b/testsuite/matrix/matrix_case.cpp
@@ -54,7 +54,8 @@
     world target({ .seed = what.seed });
     workload load(target);
     load.start();
-    target.run(warmUp);
+    if (!allSteps()[what.step].atStart)
+        target.run(warmUp);
     bool struck = false;
     // The second occurrence strikes at an odd time between other work; faults strike before the
     // action takes effect or right after it, depending on the seed.
--- a/testsuite/matrix/observer.h
+++ b/testsuite/matrix/observer.h
@@ -24,7 +24,19 @@
     void onTaskEnded(const std::string &vm, const std::string &task);
     void onTaskCheckpointed(const std::string &task, log_position attempt, std::int64_t progressMs);
     void onTaskFinished(const std::string &task);
-    void onFinishRecorded(const std::string &task) { m_recorded.insert(task); }
+    /// The records of the log, as they are appended.
+    void onClaimRecorded(const std::string &task)
+    {
+        const auto revoked = m_lastRevoked.find(task);
+        if (revoked != m_lastRevoked.end())
+            m_replaced.emplace(task, revoked->second);
+    }
+    /// A finish that comes after the claim that replaced its attempt has no effect.
+    void onFinishRecorded(const std::string &task, log_position attempt)
+    {
+        if (!m_replaced.contains({ task, attempt }))
+            m_recorded.insert(task);
+    }
     void onReleaseRecorded(const std::string &task, std::int64_t progressMs)
     {
         m_tasks[task].recordedMs = std::max(m_tasks[task].recordedMs, progressMs);
@@ -32,6 +44,7 @@
     void onRevocationRecorded(const std::string &task, log_position attempt)
     {
         m_revoked.emplace(task, attempt);
+        m_lastRevoked[task] = attempt;
     }
     /// The knowledge of what the task did at its worker is lost, unless the log has it: the
     /// system has to run the task again from the checkpoint in the log.
@@ -71,6 +84,8 @@
     std::map<std::string, int> m_finished;
     std::set<std::string> m_recorded; ///< the log has a task_finished
     std::set<std::pair<std::string, log_position>> m_revoked; ///< the log has a task_revoked
+    std::map<std::string, log_position> m_lastRevoked;
+    std::set<std::pair<std::string, log_position>> m_replaced; ///< claimed again since
     std::map<std::uint64_t, int> m_serviceStarts;
     std::set<std::uint64_t> m_notRun;
     std::map<outcome_kind, std::uint64_t> m_outcomes;
--- a/testsuite/matrix/steps.cpp
+++ b/testsuite/matrix/steps.cpp
@@ -60,7 +60,7 @@
 const std::vector<step> &allSteps()
 {
     static const std::vector<step> steps = {
-        { "announce", sends<announce> },
+        { "announce", sends<announce>, true },
         { "heartbeat", sends<heartbeat> },
         { "publish", appends<config_change> },
         { "spread_config", sends<config_update> },
--- a/testsuite/matrix/steps.h
+++ b/testsuite/matrix/steps.h
@@ -13,6 +13,7 @@
 {
     std::string name;
     bool (*matches)(const node &, const action &);
+    bool atStart = false; ///< taken while the world starts, so the fault strikes there
 };
 
 /// Every step of the fault matrix.
--- a/testsuite/matrix/workload.cpp
+++ b/testsuite/matrix/workload.cpp
@@ -10,6 +10,9 @@
 constexpr duration jobInterval = std::chrono::milliseconds(1500);
 constexpr duration configInterval = std::chrono::seconds(2);
 constexpr duration configBound = std::chrono::seconds(4);
+/// More requests at once than all endpoints queue, so that agents refuse some.
+constexpr duration burstAt = std::chrono::seconds(6);
+constexpr int burstRequests = 250;
 
 std::string poolTemplate(std::uint64_t change)
 {
@@ -51,6 +54,10 @@
         jobLoop();
         configLoop();
     });
+    m_world.queue.after(burstAt, [this] {
+        for (int i = 0; i < burstRequests; ++i)
+            sendRequest(m_nextNumber++, 1);
+    });
 }
 
 void workload::publish(const std::string &target, const std::string &body)
--- a/testsuite/matrix/world.cpp
+++ b/testsuite/matrix/world.cpp
@@ -21,7 +21,9 @@
     log.onStored = [this](const record_batch &batch) {
         for (const log_record &record : batch.records) {
             if (const auto *finished = std::get_if<task_finished>(&record))
-                watch.onFinishRecorded(finished->task.toString());
+                watch.onFinishRecorded(finished->task.toString(), finished->attempt);
+            else if (const auto *claimed = std::get_if<task_claimed>(&record))
+                watch.onClaimRecorded(claimed->task.toString());
             else if (const auto *released = std::get_if<task_released>(&record))
                 watch.onReleaseRecorded(released->task.toString(),
                                         std::atoll(released->checkpoint.c_str()));
--- a/testsuite/mutations.py
+++ b/testsuite/mutations.py
@@ -27,6 +27,7 @@
     target: str
     command: tuple
     evidence: str  # text that the failing run has to print
+    more_edits: tuple = ()  # further (file, old, new)
 
 
 MUTATIONS = (
@@ -57,11 +58,9 @@
     Mutation("6", "non-idempotent requests wait for proof", "src/librole/router_requests.cpp",
              "    added.idempotent =\n", "    added.idempotent = true ||\n",
              "matrix", ("matrix", "--fault=kill_process", "--seeds=2"), "invariant 6"),
-    Mutation("7", "agents say in each heartbeat that they drain, and refuse new work",
-             "src/librole/agent_admission_shard.cpp",
-             "    m_shared->draining = true;\n    m_admission.drain(now);\n",
-             "    static_cast<void>(now);\n",
-             "matrix", ("matrix", "--fault=drain"), "invariant 7"),
+    Mutation("7", "refusals while draining", "src/librole/request_admission.cpp",
+             "    m_state->draining = true;\n", "    m_state->draining = false;\n",
+             "role_test", ("role_test",), "error: in"),
     Mutation("8", "an entry finishes what is in flight", "src/librole/entry_control.cpp",
              "    if (m_shared->requestsInFlight != 0 || !logIdle)\n        return;\n",
              "    static_cast<void>(logIdle);\n",
@@ -97,17 +96,19 @@
 
 def try_mutation(mutation, folder, jobs):
     """Returns a verdict: detected, survived, or why the trial is invalid."""
-    path = folder / mutation.file
-    original = path.read_text()
-    if original.count(mutation.old) != 1:
+    edits = ((mutation.file, mutation.old, mutation.new), *mutation.more_edits)
+    originals = {name: (folder / name).read_text() for name, _, _ in edits}
+    if any(originals[name].count(old) != 1 for name, old, _ in edits):
         return "invalid: the source has changed"
-    path.write_text(original.replace(mutation.old, mutation.new))
+    for name, old, new in edits:
+        (folder / name).write_text(originals[name].replace(old, new))
     try:
         if not build(folder, mutation.target, jobs):
             return "invalid: does not build"
         result = run([str(folder / "build" / mutation.command[0]), *mutation.command[1:]], folder)
     finally:
-        path.write_text(original)
+        for name, text in originals.items():
+            (folder / name).write_text(text)
     failed = result.returncode != 0 and mutation.evidence in result.stdout
     return "detected" if failed else "survived"
 
--- a/testsuite/standin/service/echo_service.cpp
+++ b/testsuite/standin/service/echo_service.cpp
@@ -1,6 +1,7 @@
 #include "echo_service.h"
 
-#include "plantainpitch/runtime/http_error.h"
+#include "plantainpitch/model/error.h"
+#include "plantainpitch/runtime/error_response.h"
 #include "support/boot_clock.h"
 #include "support/json_body.h"
 
