--- a/testsuite/matrix/world.cpp
+++ b/testsuite/matrix/world.cpp
@@ -9,6 +9,8 @@
 
 constexpr duration tickTime = std::chrono::milliseconds(50);
 constexpr duration reconnectTime = std::chrono::milliseconds(200);
+/// After this time without a message the runtime closes a connection (peer_options::idleTimeout).
+constexpr duration silentPeerTime = std::chrono::seconds(5);
 
 } // namespace
 
@@ -218,8 +220,7 @@
             continue;
         const bool sideA = item.a == &target;
         (sideA ? item.openA : item.openB) = false;
-        const duration detection =
-                silently ? duration(std::chrono::seconds(20)) : m_options.linkDelay;
+        const duration detection = silently ? silentPeerTime : m_options.linkDelay;
         queue.after(detection, [this, id = id, sideA] { closeSide(id, !sideA); });
     }
 }
