--- a/src/include/plantainpitch/role/message/peer_pull.h
+++ b/src/include/plantainpitch/role/message/peer_pull.h
@@ -10,7 +10,6 @@
 {
     std::string stream;
     std::uint64_t fromOffset = 0;
-    bool snapshot = false; ///< the asker has no state and wants a snapshot first
 
     bool operator==(const peer_pull &) const = default;
 };
--- a/src/include/plantainpitch/role/message/peer_records.h
+++ b/src/include/plantainpitch/role/message/peer_records.h
@@ -2,7 +2,6 @@
 
 #include "plantainpitch/log/stored_batch.h"
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -12,9 +11,7 @@
 struct peer_records
 {
     std::string stream;
-    bool hasSnapshot = false;
-    std::uint64_t snapshotThrough = 0;
-    std::string snapshot;
+    bool hasSnapshot = false; ///< the batches hold parts of a snapshot, and nothing else
     std::vector<stored_batch> batches;
 
     bool operator==(const peer_records &) const = default;
--- a/src/librole/entry_control_streams.cpp
+++ b/src/librole/entry_control_streams.cpp
@@ -204,11 +204,9 @@
         m_config.onPeerNext(peer.digest.configNext);
         m_cell.onPeerNext(peer.digest.cellNext);
         if (m_config.unavailable() && peer.digest.configNext > config().nextOffset())
-            emit(send_message{ connection,
-                               peer_pull{ m_config.stream(), config().nextOffset(), false } });
+            emit(send_message{ connection, peer_pull{ m_config.stream(), config().nextOffset() } });
         if (m_cell.unavailable() && peer.digest.cellNext > cell().nextOffset())
-            emit(send_message{ connection,
-                               peer_pull{ m_cell.stream(), cell().nextOffset(), false } });
+            emit(send_message{ connection, peer_pull{ m_cell.stream(), cell().nextOffset() } });
     }
 }
 
--- a/src/librole/stream_follower.h
+++ b/src/librole/stream_follower.h
@@ -207,11 +207,8 @@
         for (snapshot_writer writer(through, m_state.saveSnapshot()); !writer.done();) {
             stored_batch carrier{ .offset = through, .batch = {} };
             carrier.batch.records.emplace_back(writer.next());
-            result.push_back({ .stream = m_stream,
-                               .hasSnapshot = true,
-                               .snapshotThrough = through,
-                               .snapshot = {},
-                               .batches = { std::move(carrier) } });
+            result.push_back(
+                    { .stream = m_stream, .hasSnapshot = true, .batches = { std::move(carrier) } });
         }
         return result;
     }
--- a/src/libwire/message_reader.cpp
+++ b/src/libwire/message_reader.cpp
@@ -214,9 +214,7 @@
 
 peer_pull read(field_reader &in, const PeerPull &m)
 {
-    return { .stream = in.text(m.stream()),
-             .fromOffset = m.from_offset(),
-             .snapshot = m.snapshot() };
+    return { .stream = in.text(m.stream()), .fromOffset = m.from_offset() };
 }
 
 stored_batch readStored(field_reader &in, const StoredBatch &s)
@@ -228,8 +226,6 @@
 {
     return { .stream = in.text(m.stream()),
              .hasSnapshot = m.has_snapshot(),
-             .snapshotThrough = m.snapshot_through(),
-             .snapshot = in.bytes(m.snapshot()),
              .batches = list<stored_batch>(in, m.batches(), readStored) };
 }
 
--- a/src/libwire/message_writer.cpp
+++ b/src/libwire/message_writer.cpp
@@ -176,7 +176,7 @@
 
 offset<PeerPull> write(builder &b, const peer_pull &m)
 {
-    return CreatePeerPull(b, text(b, m.stream), m.fromOffset, m.snapshot);
+    return CreatePeerPull(b, text(b, m.stream), m.fromOffset);
 }
 
 offset<StoredBatch> writeStored(builder &b, const stored_batch &s)
@@ -187,9 +187,8 @@
 offset<PeerRecords> write(builder &b, const peer_records &m)
 {
     const auto stream = text(b, m.stream);
-    const auto snapshot = bytes(b, m.snapshot);
     const auto batches = list<StoredBatch>(b, m.batches, writeStored);
-    return CreatePeerRecords(b, stream, m.hasSnapshot, m.snapshotThrough, snapshot, batches);
+    return CreatePeerRecords(b, stream, m.hasSnapshot, batches);
 }
 
 } // namespace
--- a/src/libwire/sample_values_test.cpp
+++ b/src/libwire/sample_values_test.cpp
@@ -74,8 +74,8 @@
                      1, 2, { { task, at(3), withdrawal::cancelled } }, { { held, 4000 } } },
              drain_request{ "why" },
              peer_digest{ "n", 1, 2, true, true },
-             peer_pull{ "config", 4, true },
-             peer_records{ "config", true, 3, binary, { stored } } };
+             peer_pull{ "config", 4 },
+             peer_records{ "config", true, { stored } } };
 }
 
 } // namespace plantainpitch::wire::test
