Run long tasks in the matrix, so that a claim moved too early overlaps

Cause: make mutations showed that the matrix passed without the wait after a revocation: its tasks of 1.5 s ended before a VM counted as lost. Tasks of 12 s under a term of 8 s now run beside them.

--- a/testsuite/matrix/observer.h
+++ b/testsuite/matrix/observer.h
@@ -31,15 +31,16 @@
         if (revoked != m_lastRevoked.end())
             m_replaced.emplace(task, revoked->second);
     }
-    /// A finish that comes after the claim that replaced its attempt has no effect.
+    /// A finish or a release that comes after the claim that replaced its attempt has no effect.
     void onFinishRecorded(const std::string &task, log_position attempt)
     {
         if (!m_replaced.contains({ task, attempt }))
             m_recorded.insert(task);
     }
-    void onReleaseRecorded(const std::string &task, std::int64_t progressMs)
+    void onReleaseRecorded(const std::string &task, log_position attempt, std::int64_t progressMs)
     {
-        m_tasks[task].recordedMs = std::max(m_tasks[task].recordedMs, progressMs);
+        if (!m_replaced.contains({ task, attempt }))
+            m_tasks[task].recordedMs = std::max(m_tasks[task].recordedMs, progressMs);
     }
     void onRevocationRecorded(const std::string &task, log_position attempt)
     {
--- a/testsuite/matrix/workload.cpp
+++ b/testsuite/matrix/workload.cpp
@@ -22,12 +22,15 @@
            + std::to_string(24 + change % 8) + "}";
 }
 
-std::string batchTemplate(const std::string &name, int processors)
+/// Tasks of \a runMs under a term of \a termMs. The long ones outlast the time after which a VM
+/// counts as lost, so that a claim moved too early runs in two places.
+std::string batchTemplate(const std::string &name, int processors, int runMs, int termMs)
 {
     return R"({"version":1,"name":")" + name + R"(","kind":"batch","team":"payouts",)"
            + R"("task_resources":{"processors_milli":)" + std::to_string(processors)
-           + R"(,"memory_bytes":1000000000,"accelerators":0},"command":"1500",)"
-           + R"("authority_term_ms":4000,"expected_run_time_ms":1500})";
+           + R"(,"memory_bytes":1000000000,"accelerators":0},"command":")" + std::to_string(runMs)
+           + R"(","authority_term_ms":)" + std::to_string(termMs) + R"(,"expected_run_time_ms":)"
+           + std::to_string(runMs) + "}";
 }
 
 std::string parameters(const std::string &name)
@@ -45,8 +48,10 @@
 void workload::start()
 {
     publish("/v1/templates/pool", poolTemplate(0));
-    publish("/v1/templates/split", batchTemplate("split", 1000));
-    publish("/v1/templates/huge", batchTemplate("huge", 64000));
+    publish("/v1/templates/split", batchTemplate("split", 1000, 1500, 4000));
+    publish("/v1/templates/huge", batchTemplate("huge", 64000, 1500, 4000));
+    publish("/v1/templates/long", batchTemplate("long", 500, 12'000, 8000));
+    publish("/v1/accounts/fund/parameters/long", parameters("long"));
     publish("/v1/accounts/fund/parameters/split", parameters("split"));
     publish("/v1/accounts/fund/parameters/huge", parameters("huge"));
     m_world.queue.after(std::chrono::seconds(2), [this] {
@@ -178,7 +183,7 @@
     if (m_stopped)
         return;
     const std::string id = "job-" + std::to_string(m_nextJob++);
-    submitJob(id, "split");
+    submitJob(id, m_nextJob % 3 == 0 ? "long" : "split");
     if (m_nextJob % 5 == 0)
         m_world.queue.after(std::chrono::milliseconds(900), [this, id] { cancelJob(id); });
     m_world.queue.after(jobInterval, [this] { jobLoop(); });
--- a/testsuite/matrix/world.cpp
+++ b/testsuite/matrix/world.cpp
@@ -27,7 +27,7 @@
             else if (const auto *claimed = std::get_if<task_claimed>(&record))
                 watch.onClaimRecorded(claimed->task.toString());
             else if (const auto *released = std::get_if<task_released>(&record))
-                watch.onReleaseRecorded(released->task.toString(),
+                watch.onReleaseRecorded(released->task.toString(), released->attempt,
                                         std::atoll(released->checkpoint.c_str()));
             else if (const auto *revoked = std::get_if<task_revoked>(&record))
                 watch.onRevocationRecorded(revoked->task.toString(), revoked->attempt);
