Free the connections of a destroyed HTTP server

Cause: the set of open connections belongs to state that every connection refers to, so connections left at the end referred to each other for ever.

--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -145,7 +145,13 @@
         state->acceptor.close(ignored);
         state->retryTimer.cancel();
     });
-    for (const auto &connection : m_state->connections())
+    // The connections refer to the set that holds them; without this they would never be freed.
+    std::unordered_set<std::shared_ptr<http_connection>> open;
+    {
+        const std::lock_guard lock(m_state->shared->mutex);
+        open.swap(m_state->shared->connections);
+    }
+    for (const auto &connection : open)
         connection->abort();
 }
 
