--- /dev/null
+++ b/src/include/plantainpitch/fleet/agent_process.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "plantainpitch/fleet/member_endpoint.h"
+#include "plantainpitch/runtime/clock.h"
+#include "plantainpitch/runtime/logging.h"
+#include "plantainpitch/sched/agent.h"
+#include "plantainpitch/sched/worker_port.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace plantainpitch::fleet {
+
+/// Passes events and time between an agent, its worker and the owner of the partition.
+class agent_process
+{
+public:
+    agent_process(boost::asio::io_context &context, sched::worker_port &worker,
+                  const runtime::clock &time, runtime::logging &log,
+                  member_endpoint_options options);
+
+    void start() { m_endpoint.start(); }
+    /// To be called every 100 ms or so.
+    void tick();
+    /// Returns false if the announcement is out of date.
+    bool workerAnnounced(const sched::worker_info &info, std::int64_t clockMs);
+    void workerLeft(const std::string &id);
+    void stop() { m_endpoint.close(); }
+    [[nodiscard]] bool hasOwner() const { return m_endpoint.connected(); }
+
+private:
+    void flush();
+
+    sched::worker_port &m_worker;
+    const runtime::clock &m_time;
+    runtime::logging &m_log;
+    sched::agent m_agent;
+    member_endpoint m_endpoint;
+};
+
+} // namespace plantainpitch::fleet
--- /dev/null
+++ b/src/include/plantainpitch/fleet/gateway_process.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "plantainpitch/fleet/member_endpoint.h"
+#include "plantainpitch/runtime/clock.h"
+#include "plantainpitch/runtime/logging.h"
+#include "plantainpitch/sched/gateway.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+
+namespace plantainpitch::fleet {
+
+/// Passes events and time between a gateway, its clients and the owner of the partition.
+class gateway_process
+{
+public:
+    /// \a onConfig is told of configurations that the owner passes on.
+    gateway_process(boost::asio::io_context &context, const runtime::clock &time,
+                    runtime::logging &log, member_endpoint_options options,
+                    std::function<void(const sched::config_document &)> onConfig);
+
+    void start() { m_endpoint.start(); }
+    /// To be called every 100 ms or so.
+    void tick();
+    /// Sends a call to the owner; \a done is called once, within \a timeout or a little later.
+    void call(sched::client_call call, std::chrono::milliseconds timeout,
+              std::function<void(const sched::gateway_answer &)> done);
+    void stop() { m_endpoint.close(); }
+
+    [[nodiscard]] bool hasOwner() const { return m_gateway.hasOwner(); }
+
+private:
+    void flush();
+
+    const runtime::clock &m_time;
+    runtime::logging &m_log;
+    sched::gateway m_gateway;
+    std::map<std::uint64_t, std::function<void(const sched::gateway_answer &)>> m_waiting;
+    std::uint64_t m_lastCall = 0;
+    member_endpoint m_endpoint;
+};
+
+} // namespace plantainpitch::fleet
--- /dev/null
+++ b/src/include/plantainpitch/fleet/member_endpoint.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "plantainpitch/runtime/frame_link.h"
+#include "plantainpitch/sched/messages.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace plantainpitch::fleet {
+
+struct member_endpoint_options
+{
+    std::string address; ///< IP address to listen on
+    std::uint16_t port = 0;
+    std::string node;
+    bool isAgent = false;
+};
+
+/// The end of a gateway or an agent to which the owner of the partition connects. A connection of a
+/// later owner replaces that of an earlier one.
+class member_endpoint
+{
+public:
+    struct callbacks
+    {
+        /// Returns false to refuse the owner, because a later one is known.
+        std::function<bool(const sched::owner_hello &)> opened;
+        std::function<void()> ready; ///< messages can be sent to the owner
+        std::function<void(sched::message)> received;
+        std::function<void()> closed;
+        std::function<void(const std::string &problem)> failed;
+    };
+
+    /// Throws error(invalid_argument) if the address cannot be bound.
+    member_endpoint(boost::asio::io_context &context, member_endpoint_options options,
+                    callbacks calls);
+
+    void start();
+    void send(const sched::message &content);
+    void close();
+    [[nodiscard]] bool connected() const { return m_owner != nullptr; }
+
+private:
+    void accept();
+    void serve(boost::asio::ip::tcp::socket socket);
+    void onFrame(const std::shared_ptr<runtime::frame_link> &link, const std::string &frame);
+
+    const member_endpoint_options m_options;
+    callbacks m_calls;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_retry;
+    std::shared_ptr<runtime::frame_link> m_owner;
+};
+
+} // namespace plantainpitch::fleet
--- /dev/null
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "plantainpitch/fleet/member_dialer.h"
+#include "plantainpitch/runtime/clock.h"
+#include "plantainpitch/runtime/logging.h"
+#include "plantainpitch/sched/partition_store.h"
+#include "plantainpitch/sched/scheduler.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace plantainpitch::fleet {
+
+struct owner_process_options
+{
+    std::string node;
+    std::chrono::milliseconds joinInterval{ 500 };
+};
+
+/// Takes part in the choice of the partition's owner, and owns it while it is chosen: connects to
+/// all members, and passes events and time between them, the store and the scheduler.
+class owner_process
+{
+public:
+    owner_process(boost::asio::io_context &context, sched::partition_store &store,
+                  const runtime::clock &time, runtime::logging &log, owner_process_options options);
+    ~owner_process();
+
+    /// To be called every 100 ms or so.
+    void tick();
+    void setConfig(const sched::fleet_config &config, const sched::config_document &document);
+    /// Hands the partition over and calls back when it is done.
+    void stop(std::function<void()> done);
+
+private:
+    struct tenure;
+
+    void join();
+    void onJoined(const sched::join_result &result, instant sent);
+    void begin(std::uint64_t epoch);
+    void load(const std::shared_ptr<tenure> &current);
+    void onLoaded(const std::shared_ptr<tenure> &current,
+                  const std::vector<sched::stored_record> &records);
+    void dial(const std::shared_ptr<tenure> &current);
+    void onMessage(const std::shared_ptr<tenure> &current, const sched::member &from,
+                   const sched::message &content);
+    void schedulePump();
+    void pump();
+    void append(const std::shared_ptr<tenure> &current);
+    void end(const char *reason);
+    void writeLog(log_level level, const char *event,
+                  std::vector<std::pair<std::string, std::string>> fields);
+
+    boost::asio::io_context &m_context;
+    sched::partition_store &m_store;
+    const runtime::clock &m_time;
+    runtime::logging &m_log;
+    const owner_process_options m_options;
+    sched::spread_placement m_placement;
+    sched::deadline_order m_order;
+    std::optional<sched::fleet_config> m_config;
+    sched::config_document m_document;
+    std::uint64_t m_generation = 0;
+    bool m_joining = false;
+    bool m_stopping = false;
+    bool m_pumpScheduled = false;
+    instant m_lastJoin{};
+    std::shared_ptr<tenure> m_tenure; ///< while this process is the owner or becomes it
+};
+
+} // namespace plantainpitch::fleet
--- a/src/include/plantainpitch/runtime/http_result.h
+++ b/src/include/plantainpitch/runtime/http_result.h
@@ -15,6 +15,7 @@
 {
     http_result_kind kind = http_result_kind::broken;
     http_response response;
+    bool refused = false; ///< with connect_failed: nothing listens at the address
 
     bool operator==(const http_result &) const = default;
 };
--- a/src/include/plantainpitch/runtime/logging.h
+++ b/src/include/plantainpitch/runtime/logging.h
@@ -8,12 +8,15 @@
 
 namespace plantainpitch::runtime {
 
-/// Writes log lines to stderr through log4cplus. Thread-safe. One per process.
+enum class log_stream { standard_error, standard_output };
+
+/// Writes log lines through log4cplus. Thread-safe. One per process.
 class logging
 {
 public:
     /// \a level is debug, info, warning or error.
-    logging(const clock &time, const std::string &level);
+    logging(const clock &time, const std::string &level,
+            log_stream stream = log_stream::standard_error);
     ~logging();
 
     void write(const write_log &line);
--- a/src/include/plantainpitch/runtime/process_loop.h
+++ b/src/include/plantainpitch/runtime/process_loop.h
@@ -18,12 +18,13 @@
 
     struct callbacks
     {
-        std::function<void()> tick; ///< every tickInterval
+        std::function<void()> tick; ///< every tickInterval, or as the constructor was told
         std::function<void()> stop; ///< at the first SIGTERM or SIGINT
         std::function<void(const std::exception &)> fault; ///< a handler has thrown
+        std::function<void()> reload = {}; ///< at SIGHUP; empty: SIGHUP ends the process
     };
 
-    explicit process_loop(unsigned threads);
+    explicit process_loop(unsigned threads, std::chrono::milliseconds tick = tickInterval);
 
     [[nodiscard]] boost::asio::io_context &context() { return m_context; }
 
@@ -37,12 +38,15 @@
 private:
     void scheduleTick();
     void awaitSignal();
+    void awaitReload();
     void pollIdle(std::chrono::steady_clock::time_point latest);
     void runThread();
 
     unsigned m_threads;
+    std::chrono::milliseconds m_tick;
     boost::asio::io_context m_context;
     boost::asio::signal_set m_signals;
+    boost::asio::signal_set m_reloadSignals;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_finishTimer;
     callbacks m_calls;
--- /dev/null
+++ b/src/include/plantainpitch/sched/job.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "plantainpitch/model/instant.h"
+#include "plantainpitch/sched/job_state.h"
+#include "plantainpitch/sched/messages.h"
+#include "plantainpitch/sched/resources.h"
+#include "plantainpitch/sched/task_phase.h"
+#include "plantainpitch/sched/worker.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace plantainpitch::sched {
+
+struct task
+{
+    task_phase phase = task_phase::waiting;
+    std::uint32_t run = 0; ///< number of the last start; 0: never started
+    std::uint32_t failures = 0;
+    worker_key place; ///< of the last start
+    std::string checkpoint;
+    bool seen = false; ///< the worker has listed the run
+    instant retryAt{}; ///< not started again before
+};
+
+/// One step of one occurrence.
+struct step_run
+{
+    std::vector<task> tasks;
+    std::uint32_t waiting = 0;
+    std::uint32_t active = 0;
+    std::uint32_t done = 0;
+};
+
+struct occurrence
+{
+    std::uint32_t number = 0;
+    std::vector<step_run> steps;
+    std::uint32_t doneSteps = 0;
+};
+
+struct job
+{
+    submission request;
+    std::vector<occurrence> occurrences; ///< those that are due
+    job_outcome outcome = job_outcome::open;
+    std::int64_t endedMs = 0; ///< wall clock
+    bool started = false; ///< some task was started
+    instant received{};
+    instant objective{}; ///< full credit ends
+
+    /// What the store has acknowledged; the only thing clients are shown.
+    job_state shown = job_state::queued;
+    bool stored = false; ///< the submission is stored
+
+    // Changes that the next commit stores.
+    bool submissionChanged = false;
+    bool progressChanged = false;
+
+    [[nodiscard]] const step_spec &stepSpec(std::uint32_t step) const
+    {
+        return *request.spec->steps[step];
+    }
+    [[nodiscard]] job_state state() const;
+    [[nodiscard]] bool ended() const { return outcome != job_outcome::open; }
+    /// All tasks of the steps that \a step depends on are done.
+    [[nodiscard]] bool unlocked(const occurrence &within, std::uint32_t step) const;
+    [[nodiscard]] std::uint32_t occurrenceCount() const
+    {
+        return request.spec->occurrences > 0 ? request.spec->occurrences : 1;
+    }
+    /// Longest chain of estimated run times over the steps, ms.
+    [[nodiscard]] std::int64_t longestChainMs() const;
+    /// Work of one occurrence in core-milliseconds, by the estimates.
+    [[nodiscard]] double estimatedWork() const;
+};
+
+/// What one task of the step reserves; a step that fills reserves no processors.
+resources reservation(const step_spec &step);
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/include/plantainpitch/sched/job_state.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+
+namespace plantainpitch::sched {
+
+/// What clients are shown.
+enum class job_state : std::uint8_t { queued, running, completed, failed, cancelled };
+
+/// How a job has ended, as stored.
+enum class job_outcome : std::uint8_t { open, completed, failed, cancelled };
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/include/plantainpitch/sched/partition_store.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "plantainpitch/sched/messages.h"
+#include "plantainpitch/sched/stored_record.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace plantainpitch::sched {
+
+enum class append_status : std::uint8_t {
+    stored,
+    fenced, ///< a later owner has written; nothing was stored
+    unknown, ///< no answer, or nothing was done for now; the same batch may be sent again
+};
+
+struct join_result
+{
+    bool answered = false;
+    std::uint64_t generation = 0; ///< rises with each change of the group
+    bool ownsPartition = false;
+};
+
+/// The platform's store, as the owner of a partition uses it. Every call answers once, on the
+/// thread of the process's loop.
+class partition_store
+{
+public:
+    virtual ~partition_store() = default;
+
+    /// Joins the group of candidates or stays in it; \a generation is the last one received.
+    virtual void join(std::uint64_t generation, std::function<void(join_result)> done) = 0;
+    /// Leaves the group, so that another member gets the partition at once.
+    virtual void leave(std::function<void()> done) = 0;
+    /// From now on, batches of lower epochs are refused.
+    virtual void fence(std::uint64_t epoch, std::function<void(append_status)> done) = 0;
+    /// Stores a batch as a whole. \a number counts the batches of an epoch from 1; a batch that is
+    /// sent again under its number is stored once.
+    virtual void append(std::uint64_t epoch, std::uint64_t number,
+                        const std::vector<stored_record> &records,
+                        std::function<void(append_status)> done) = 0;
+    /// Reads the newest value of every key; \a answered is false if the store does not answer.
+    virtual void
+    load(std::function<void(bool answered, std::vector<stored_record> records)> done) = 0;
+    /// Announces this process to the owner of the partition.
+    virtual void announce(const member &self, std::function<void(bool answered)> done) = 0;
+    /// Follows the announcements, from the oldest kept, until stopFollowing().
+    virtual void followMembers(std::function<void(member)> found) = 0;
+    virtual void stopFollowing() = 0;
+    /// Removes the announcement of a process that is gone.
+    virtual void forget(const std::string &address) = 0;
+};
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/include/plantainpitch/sched/resources.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+
+namespace plantainpitch::sched {
+
+/// Amounts of a worker's or a task's resources.
+struct resources
+{
+    std::int64_t cpu = 0; ///< thousandths of a core
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+
+    [[nodiscard]] bool fits(const resources &room) const
+    {
+        return cpu <= room.cpu && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+    }
+
+    bool operator==(const resources &) const = default;
+};
+
+inline resources operator+(const resources &a, const resources &b)
+{
+    return { a.cpu + b.cpu, a.memoryMb + b.memoryMb, a.accelerators + b.accelerators };
+}
+
+inline resources operator-(const resources &a, const resources &b)
+{
+    return { a.cpu - b.cpu, a.memoryMb - b.memoryMb, a.accelerators - b.accelerators };
+}
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "plantainpitch/model/instant.h"
+#include "plantainpitch/role/action/write_log.h"
+#include "plantainpitch/sched/client_call_kind.h"
+#include "plantainpitch/sched/fleet_config.h"
+#include "plantainpitch/sched/job.h"
+#include "plantainpitch/sched/messages.h"
+#include "plantainpitch/sched/placement_policy.h"
+#include "plantainpitch/sched/run_outcome.h"
+#include "plantainpitch/sched/stored_record.h"
+#include "plantainpitch/sched/task_name.h"
+#include "plantainpitch/sched/waiting_order.h"
+#include "plantainpitch/sched/worker.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace plantainpitch::sched {
+
+struct scheduler_options
+{
+    std::uint64_t epoch = 0; ///< of this ownership; higher than that of all earlier owners
+    /// A grant to an agent lasts this long, by the agent's clock, from the sending of its report.
+    duration term = std::chrono::milliseconds(5'500);
+    /// Clocks run at most that much apart.
+    double clockDrift = 0.02;
+    /// Added to every wait for the end of a lease: a worker that was suspended notices late.
+    duration leaseMargin = std::chrono::milliseconds(400);
+    /// An earlier owner that is cut off stops granting this long after it lost its agents.
+    duration staleOwner = std::chrono::milliseconds(2'000);
+    /// Ended jobs are shown this long.
+    duration keepEnded = std::chrono::seconds(150);
+};
+
+/// A message for the process with that node name.
+struct outgoing_message
+{
+    std::string node;
+    message content;
+};
+
+/// Owns the jobs of one partition: accepts them, decides when and where their tasks run, and takes
+/// note of their ends. Only the owner of the partition has one. It has no sockets and no clock.
+///
+/// Every change of state is first stored (nextCommit(), commitDone()); messages that depend on the
+/// change leave after that. So a later owner knows every run that may exist.
+class scheduler
+{
+public:
+    /// \a placement and \a order must outlive the scheduler.
+    scheduler(const scheduler_options &options, const placement_policy &placement,
+              const waiting_order &order);
+
+    /// Loads a record that an earlier owner stored. Throws error(protocol_error).
+    void load(const stored_record &record);
+    /// All records are loaded; nothing is decided before. \a wallMs is the wall clock.
+    void finishLoading(instant now, std::int64_t wallMs);
+
+    void setConfig(const fleet_config &config);
+    /// The agents that exist, reachable or not.
+    void setAgents(std::set<std::string> nodes);
+    /// The store has confirmed the ownership by an answer to a call sent at \a sent.
+    void confirmOwnership(instant sent) { m_confirmed = std::max(m_confirmed, sent); }
+
+    void agentOpened(const std::string &node, instant now);
+    void agentClosed(const std::string &node, instant now);
+    void onReport(const std::string &node, const agent_report &report, instant now);
+    void onCall(const std::string &node, const client_call &call, instant now, std::int64_t wallMs);
+    /// To be called every 100 ms or so.
+    void tick(instant now, std::int64_t wallMs);
+
+    /// Decides what can be started and returns the records to store, in one batch that is stored
+    /// as a whole. Nothing if there is nothing to store or a batch is on its way.
+    std::optional<std::vector<stored_record>> nextCommit(instant now, std::int64_t wallMs);
+    /// The batch is stored.
+    void commitDone(instant now);
+
+    std::vector<outgoing_message> takeMessages();
+    std::vector<write_log> takeLogLines();
+
+    [[nodiscard]] std::size_t openJobs() const { return m_open.size(); }
+    [[nodiscard]] const std::map<worker_key, std::unique_ptr<worker>> &workers() const
+    {
+        return m_workers;
+    }
+    [[nodiscard]] const job *findJob(const std::string &id) const;
+
+private:
+    struct task_place
+    {
+        job *owner = nullptr;
+        occurrence *within = nullptr;
+        step_run *step = nullptr;
+        task *item = nullptr;
+    };
+    /// Messages and shown states that wait for a batch to be stored.
+    struct staged_effects
+    {
+        std::map<std::string, agent_orders> orders; ///< by node
+        std::vector<outgoing_message> messages;
+        std::vector<std::pair<std::string, job_state>> shown; ///< by job id
+    };
+
+    // scheduler_jobs.cpp
+    job &addJob(submission request, instant now, std::int64_t wallMs);
+    void applyProgress(job &target, const progress &record);
+    void addDueOccurrences(job &target, std::int64_t wallMs);
+    void occurrenceAdded(job &target, std::uint32_t number);
+    void endJob(job &target, job_outcome outcome);
+    void stepDone(job &target, occurrence &within);
+    void changed(job &target);
+    void removeOldJobs(std::int64_t wallMs);
+    [[nodiscard]] progress progressOf(const job &target) const;
+    void answer(const std::string &node, std::uint64_t number, call_outcome outcome,
+                const job *about, bool afterCommit);
+    void submit(const std::string &node, const client_call &call, instant now,
+                std::int64_t wallMs);
+    void cancel(const std::string &node, const client_call &call);
+    [[nodiscard]] std::uint32_t pendingJobs(const std::string &queue) const;
+    [[nodiscard]] const queue_config *queueOf(const job &target) const;
+
+    // scheduler_runs.cpp
+    task_place find(const std::string &name);
+    void onEnd(worker &where, const run_end &end, instant now);
+    void onRefusal(worker &where, const run_refusal &refusal, instant now);
+    void taskDone(const task_place &place);
+    void taskFailed(const task_place &place, worker &where, instant now);
+    void requeue(const task_place &place);
+    void release(worker &where, const std::string &name, std::uint32_t run);
+    void orderStop(worker &where, const std::string &name, std::uint32_t run);
+    void loseRuns(worker &where, const char *reason);
+    void schedulePass(instant now);
+    void placeStep(job &target, const queue_config &queue, occurrence &within, std::uint32_t step,
+                   instant now);
+    void start(job &target, occurrence &within, std::uint32_t step, std::uint32_t index,
+               worker &where, std::uint32_t run);
+    [[nodiscard]] std::vector<worker *> candidates(const job &target, const queue_config &queue,
+                                                   const occurrence &within, std::uint32_t step,
+                                                   instant now);
+    agent_orders &ordersFor(worker &where);
+
+    // scheduler_workers.cpp
+    worker &workerAt(const std::string &node, const worker_info &info, instant now);
+    void reconcile(worker &where, const agent_report &report);
+    void describe(worker &where, const std::vector<std::string> &names);
+    void grant(const std::string &node, worker *where, const agent_report &report, instant now);
+    [[nodiscard]] bool hasMajority() const;
+    void dropLostWorkers(instant now);
+
+    void log(log_level level, const char *event,
+             std::vector<std::pair<std::string, std::string>> fields);
+
+    const scheduler_options m_options;
+    const placement_policy &m_placement;
+    const waiting_order &m_order;
+    fleet_config m_config;
+    std::map<std::string, queue_config> m_formerQueues; ///< of queues that were removed
+
+    std::unordered_map<std::string, std::unique_ptr<job>> m_jobs;
+    std::vector<job *> m_open;
+    std::vector<job *> m_changed;
+    std::vector<std::string> m_removedKeys;
+    std::unordered_map<std::string, progress> m_loadedProgress;
+
+    std::map<worker_key, std::unique_ptr<worker>> m_workers;
+    std::map<std::string, worker *> m_workerByNode;
+    std::set<std::string> m_agents;
+    std::set<std::string> m_connected;
+    instant m_confirmed{};
+    instant m_takeover{};
+    bool m_loaded = false;
+    std::uint64_t m_lastOrders = 0;
+    bool m_roomChanged = false; ///< a pass may start something
+    bool m_commitInFlight = false;
+    instant m_lastPass{};
+
+    staged_effects m_staged; ///< go with the next batch
+    staged_effects m_inFlight;
+    std::vector<outgoing_message> m_messages;
+    std::vector<write_log> m_logLines;
+};
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/include/plantainpitch/sched/worker.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "plantainpitch/model/instant.h"
+#include "plantainpitch/sched/resources.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace plantainpitch::sched {
+
+/// Identifies one incarnation of a worker.
+struct worker_key
+{
+    std::string id;
+    std::uint64_t startMs = 0; ///< wall clock at its start
+
+    auto operator<=>(const worker_key &) const = default;
+};
+
+/// A run that holds resources of a worker until its end is proved.
+struct allocation
+{
+    std::uint32_t run = 0;
+    resources amount;
+    bool fills = false;
+    bool serves = false;
+    bool stopOrdered = false;
+    /// Number of the orders that carry the start; 0: the agent has had its chance to see them.
+    std::uint64_t orderNumber = 0;
+};
+
+/// What the owner knows of one incarnation of a worker.
+struct worker
+{
+    worker_key key;
+    std::string agent; ///< node name of the agent beside it; empty: not known yet
+    std::string service;
+    std::string dataCentre;
+    std::string rack;
+    std::vector<std::string> labels;
+    resources capacity;
+    resources used;
+    std::int64_t fillingCpu = 0; ///< demand of runs that use left-over capacity
+    bool ready = false; ///< not draining
+    bool responsive = false;
+    bool connected = false; ///< the agent is connected and its runs are known
+    /// The last instant at which a lease of this incarnation may be valid.
+    instant leasedUntil{};
+    std::map<std::string, allocation> runs; ///< by task name
+
+    // Failures seen on this worker; see worker_health.
+    std::vector<std::string> failedJobs;
+    instant avoidUntil{};
+    std::uint32_t avoidances = 0;
+
+    [[nodiscard]] resources room() const { return capacity - used; }
+};
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/libfleet/agent_process.cpp
@@ -0,0 +1,69 @@
+#include "plantainpitch/fleet/agent_process.h"
+
+namespace plantainpitch::fleet {
+
+agent_process::agent_process(boost::asio::io_context &context, sched::worker_port &worker,
+                             const runtime::clock &time, runtime::logging &log,
+                             member_endpoint_options options)
+    : m_worker(worker)
+    , m_time(time)
+    , m_log(log)
+    , m_agent({ .node = options.node })
+    , m_endpoint(context, options,
+                 { .opened =
+                           [this](const sched::owner_hello &hello) {
+                               return m_agent.ownerOpened(hello, m_time.now());
+                           },
+                   .ready = [this] { tick(); },
+                   .received =
+                           [this](const sched::message &content) {
+                               if (const auto *orders = content.content.Asagent_orders())
+                                   m_agent.onOrders(*orders, m_time.now());
+                               flush();
+                           },
+                   .closed = [this] { m_agent.ownerClosed(m_time.now()); },
+                   .failed =
+                           [this](const std::string &problem) {
+                               m_log.write({ log_level::error,
+                                             "owner_message_unreadable",
+                                             { { "problem", problem } } });
+                           } })
+{}
+
+void agent_process::tick()
+{
+    m_agent.tick(m_time.now());
+    flush();
+}
+
+bool agent_process::workerAnnounced(const sched::worker_info &info, std::int64_t clockMs)
+{
+    const bool current = m_agent.workerAnnounced(info, clockMs, m_time.now());
+    m_agent.tick(m_time.now());
+    flush();
+    return current;
+}
+
+void agent_process::workerLeft(const std::string &id)
+{
+    m_agent.workerLeft(id, m_time.now());
+    m_agent.tick(m_time.now());
+    flush();
+}
+
+void agent_process::flush()
+{
+    for (const sched::worker_call &call : m_agent.takeCalls()) {
+        m_worker.send(call, [this, call](const sched::worker_reply &reply) {
+            m_agent.onReply(call, reply, m_time.now());
+            m_agent.tick(m_time.now());
+            flush();
+        });
+    }
+    for (sched::agent_report &report : m_agent.takeReports())
+        m_endpoint.send(sched::makeMessage(std::move(report)));
+    for (const write_log &line : m_agent.takeLogLines())
+        m_log.write(line);
+}
+
+} // namespace plantainpitch::fleet
--- /dev/null
+++ b/src/libfleet/member_endpoint.cpp
@@ -0,0 +1,127 @@
+#include "plantainpitch/fleet/member_endpoint.h"
+
+#include "plantainpitch/model/error.h"
+
+namespace plantainpitch::fleet {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Pause after a failed accept, for example when file descriptors are short.
+constexpr std::chrono::milliseconds acceptRetryTime{ 50 };
+
+} // namespace
+
+member_endpoint::member_endpoint(asio::io_context &context, member_endpoint_options options,
+                                 callbacks calls)
+    : m_options(std::move(options))
+    , m_calls(std::move(calls))
+    , m_acceptor(context)
+    , m_retry(context)
+{
+    try {
+        const asio::ip::tcp::endpoint where(asio::ip::make_address(m_options.address),
+                                            m_options.port);
+        m_acceptor.open(where.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.bind(where);
+        m_acceptor.listen();
+    } catch (const boost::system::system_error &failure) {
+        throw error(error_kind::invalid_argument,
+                    "cannot listen on " + m_options.address + ':' + std::to_string(m_options.port)
+                            + ": " + failure.code().message(),
+                    "give a free port and an address of this VM");
+    }
+}
+
+void member_endpoint::start()
+{
+    accept();
+}
+
+void member_endpoint::accept()
+{
+    m_acceptor.async_accept([this](const error_code &code, asio::ip::tcp::socket socket) {
+        if (!m_acceptor.is_open())
+            return;
+        if (!code) {
+            serve(std::move(socket));
+            accept();
+            return;
+        }
+        m_calls.failed("accept: " + code.message());
+        m_retry.expires_after(acceptRetryTime);
+        m_retry.async_wait([this](const error_code &failure) {
+            if (!failure)
+                accept();
+        });
+    });
+}
+
+void member_endpoint::serve(asio::ip::tcp::socket socket)
+{
+    auto link = std::make_shared<runtime::frame_link>(std::move(socket),
+                                                      runtime::frame_link_options{});
+    const std::weak_ptr<runtime::frame_link> weak = link;
+    link->start({ .frame =
+                          [this, weak](const std::string &frame) {
+                              if (const auto from = weak.lock())
+                                  onFrame(from, frame);
+                          },
+                  .closed =
+                          [this, weak](const std::string & /*reason*/) {
+                              if (weak.lock() != m_owner || !m_owner)
+                                  return;
+                              m_owner = nullptr;
+                              m_calls.closed();
+                          } });
+}
+
+void member_endpoint::onFrame(const std::shared_ptr<runtime::frame_link> &link,
+                              const std::string &frame)
+{
+    sched::message content;
+    try {
+        content = sched::decodeMessage(frame);
+    } catch (const error &failure) {
+        m_calls.failed(failure.what());
+        return;
+    }
+    if (const auto *hello = content.content.Asowner_hello()) {
+        if (!m_calls.opened(*hello)) {
+            link->close();
+            return;
+        }
+        if (m_owner && m_owner != link)
+            m_owner->close();
+        m_owner = link;
+        sched::member_hello answer;
+        answer.node = m_options.node;
+        answer.isAgent = m_options.isAgent;
+        send(sched::makeMessage(answer));
+        m_calls.ready();
+        return;
+    }
+    if (link == m_owner)
+        m_calls.received(std::move(content));
+}
+
+void member_endpoint::send(const sched::message &content)
+{
+    if (m_owner)
+        m_owner->send(sched::encodeMessage(content));
+}
+
+void member_endpoint::close()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_retry.cancel();
+    if (m_owner)
+        m_owner->close();
+    m_owner = nullptr;
+}
+
+} // namespace plantainpitch::fleet
--- a/src/libruntime/base64.cpp
+++ b/src/libruntime/base64.cpp
@@ -1,9 +1,9 @@
-#include "base64.h"
+#include "plantainpitch/runtime/base64.h"
 
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 
-namespace plantainpitch::runtime::detail {
+namespace plantainpitch::runtime {
 
 std::optional<std::string> decodeBase64(std::string_view text)
 {
@@ -30,4 +30,4 @@
     return result;
 }
 
-} // namespace plantainpitch::runtime::detail
+} // namespace plantainpitch::runtime
--- a/src/libruntime/http_client_connection.cpp
+++ b/src/libruntime/http_client_connection.cpp
@@ -122,7 +122,7 @@
 void http_client_connection::onConnected(const error_code &code)
 {
     if (code) {
-        end(http_result_kind::connect_failed);
+        end(http_result_kind::connect_failed, code == asio::error::connection_refused);
         return;
     }
     m_connecting = false;
@@ -277,13 +277,13 @@
     call->finish(std::move(result));
 }
 
-void http_client_connection::end(http_result_kind kind)
+void http_client_connection::end(http_result_kind kind, bool refused)
 {
     const auto call = std::exchange(m_call, nullptr);
     m_bytesWritten = false;
     release();
     if (call)
-        call->finish({ .kind = kind, .response = {} });
+        call->finish({ .kind = kind, .response = {}, .refused = refused });
 }
 
 } // namespace plantainpitch::runtime::detail
--- a/src/libruntime/http_client_connection.h
+++ b/src/libruntime/http_client_connection.h
@@ -46,7 +46,7 @@
     void newParser();
     void closeSocket();
     void release();
-    void end(http_result_kind kind);
+    void end(http_result_kind kind, bool refused = false);
     [[nodiscard]] bool serverClosed();
     [[nodiscard]] request_message toBeast(const http_request &request) const;
 
--- a/src/libruntime/log_service_client.cpp
+++ b/src/libruntime/log_service_client.cpp
@@ -3,7 +3,7 @@
 #include "plantainpitch/model/error.h"
 #include "plantainpitch/wire/batch_codec.h"
 
-#include "base64.h"
+#include "plantainpitch/runtime/base64.h"
 
 #include <boost/json.hpp>
 
@@ -123,7 +123,7 @@
             stored_batch stored{ .offset = record.at("offset").to_number<std::uint64_t>() };
             const json::string &data = record.at("data").as_string();
             try {
-                if (const auto blob = detail::decodeBase64({ data.data(), data.size() }))
+                if (const auto blob = decodeBase64({ data.data(), data.size() }))
                     stored.batch = wire::decodeBatch(*blob);
                 else
                     m_state->counters.count({ "log_foreign_batches_total", "base64" });
--- a/src/libruntime/log_service_client_test.cpp
+++ b/src/libruntime/log_service_client_test.cpp
@@ -2,7 +2,7 @@
 
 #include "plantainpitch/wire/batch_codec.h"
 
-#include "base64.h"
+#include "plantainpitch/runtime/base64.h"
 
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/test/unit_test.hpp>
@@ -115,9 +115,9 @@
 {
     std::string bytes;
     for (int i = 0; i < 256; ++i) {
-        BOOST_TEST((detail::decodeBase64(base64(bytes)) == bytes), i);
+        BOOST_TEST((decodeBase64(base64(bytes)) == bytes), i);
         bytes += static_cast<char>(i);
     }
     for (const char *text : { "a", "ab", "a===", "====", "a=bc", "ab c", "\xff\xff\xff\xff" })
-        BOOST_TEST(!detail::decodeBase64(text), text);
+        BOOST_TEST(!decodeBase64(text), text);
 }
--- a/src/libruntime/logging.cpp
+++ b/src/libruntime/logging.cpp
@@ -53,14 +53,15 @@
     log_rate_limiter limiter{ linesPerWindow, window };
 };
 
-logging::logging(const clock &time, const std::string &level)
+logging::logging(const clock &time, const std::string &level, log_stream stream)
     : m_state(std::make_unique<state>())
 {
     m_state->time = &time;
     m_state->logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("plantain"));
     m_state->logger.setLogLevel(levelOf(levelNamed(level)));
     m_state->logger.setAdditivity(false);
-    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
+            stream == log_stream::standard_error, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
             LOG4CPLUS_TEXT("time=%d{%Y-%m-%dT%H:%M:%S.%qZ} %m%n")));
     m_state->logger.addAppender(appender);
--- a/src/libruntime/process_loop.cpp
+++ b/src/libruntime/process_loop.cpp
@@ -13,10 +13,12 @@
 using boost::system::error_code;
 using steady = std::chrono::steady_clock;
 
-process_loop::process_loop(unsigned threads)
+process_loop::process_loop(unsigned threads, std::chrono::milliseconds tick)
     : m_threads(threads)
+    , m_tick(tick)
     , m_context(static_cast<int>(threads))
     , m_signals(m_context, SIGTERM, SIGINT)
+    , m_reloadSignals(m_context)
     , m_tickTimer(m_context)
     , m_finishTimer(asio::make_strand(m_context))
 {}
@@ -25,7 +27,11 @@
 {
     m_calls = std::move(calls);
     awaitSignal();
-    m_tickTimer.expires_after(tickInterval);
+    if (m_calls.reload) {
+        m_reloadSignals.add(SIGHUP);
+        awaitReload();
+    }
+    m_tickTimer.expires_after(m_tick);
     scheduleTick();
     std::vector<std::thread> others;
     for (unsigned i = 1; i < m_threads; ++i)
@@ -35,6 +41,16 @@
         thread.join();
 }
 
+void process_loop::awaitReload()
+{
+    m_reloadSignals.async_wait([this](error_code failure, int /*signal*/) {
+        if (failure)
+            return;
+        m_calls.reload();
+        awaitReload();
+    });
+}
+
 void process_loop::runThread()
 {
     try {
@@ -51,7 +67,7 @@
             return;
         m_calls.tick();
         // After a pause of the VM one tick is enough.
-        const auto next = m_tickTimer.expiry() + tickInterval;
+        const auto next = m_tickTimer.expiry() + m_tick;
         m_tickTimer.expires_at(std::max(next, steady::now()));
         scheduleTick();
     });
--- /dev/null
+++ b/src/libsched/agent.cpp
@@ -0,0 +1,514 @@
+#include "plantainpitch/sched/agent.h"
+
+#include <algorithm>
+
+namespace plantainpitch::sched {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A port without a listener seen that often in a row: the worker's process is gone.
+constexpr std::uint32_t notRunningProof = 2;
+constexpr milliseconds holdRetryInterval{ 150 };
+// How long the worker may wait for an end before it answers.
+constexpr std::uint32_t pacedWaitMs = 500; // figures for the pacing are half a second old
+constexpr std::uint32_t busyWaitMs = 1'000;
+constexpr std::uint32_t idleWaitMs = 2'000;
+
+} // namespace
+
+agent::agent(agent_options options)
+    : m_options(std::move(options))
+    , m_term(m_options.term)
+{}
+
+worker_call agent::call(worker_call_kind kind) const
+{
+    worker_call result;
+    result.kind = kind;
+    result.workerId = m_worker ? m_worker->id : std::string();
+    result.fence = m_epoch;
+    return result;
+}
+
+void agent::forgetRuns()
+{
+    m_runs.clear();
+    m_ends.clear();
+    m_newEnds.clear();
+    m_lastEnd = 0;
+    m_endsNoted = 0;
+    m_listed = false;
+}
+
+bool agent::workerAnnounced(const worker_info &info, std::int64_t clockMs, instant now)
+{
+    if (m_worker && info.startMs < m_worker->startMs)
+        return false;
+    const bool sameLife = m_worker && m_worker->id == info.id && m_worker->startMs == info.startMs;
+    if (!sameLife) {
+        log(log_level::info, "worker_announced",
+            { { "worker", info.id },
+              { "start_ms", std::to_string(info.startMs) },
+              { "service", info.service } });
+        forgetRuns();
+        m_workerClockMs = 0;
+        m_responsive = true;
+        m_lapsed = false;
+        m_failedHolds = 0;
+        m_notRunning = 0;
+        m_holdOnItsWay = false;
+        ++m_holdNumber;
+        m_nextHold = now;
+    }
+    if (clockMs > 0 && m_workerClockMs == 0) {
+        m_workerClockMs = clockMs;
+        m_workerClockAt = now;
+    }
+    if (!m_worker || *m_worker != info) {
+        m_worker = info;
+        m_workerReported = false;
+        m_reportNow = true;
+        m_completeNow = m_completeNow || !sameLife;
+    }
+    return true;
+}
+
+void agent::workerLeft(const std::string &id, instant /*now*/)
+{
+    if (!m_worker || m_worker->id != id)
+        return;
+    log(log_level::info, "worker_left", { { "worker", id } });
+    forgetRuns();
+    m_worker->ready = false;
+    m_workerReported = false;
+    m_responsive = false;
+    m_lapsed = true;
+    m_reportNow = true;
+}
+
+bool agent::ownerOpened(const owner_hello &hello, instant now)
+{
+    if (hello.epoch < m_epoch)
+        return false;
+    log(log_level::info, "owner_connected",
+        { { "owner", hello.node },
+          { "epoch", std::to_string(hello.epoch) },
+          { "runs", std::to_string(m_runs.size()) } });
+    m_epoch = hello.epoch;
+    m_term = milliseconds(hello.termMs);
+    m_ownerConnected = true;
+    m_workerReported = false;
+    m_ordersSeen = 0;
+    m_completeNow = true;
+    m_reportNow = true;
+    m_newEnds.clear();
+    for (const auto &[number, end] : m_ends)
+        m_newEnds.push_back(end);
+    m_nextHold = now;
+    return true;
+}
+
+void agent::ownerClosed(instant /*now*/)
+{
+    if (m_ownerConnected)
+        log(log_level::warning, "owner_lost", { { "epoch", std::to_string(m_epoch) } });
+    m_ownerConnected = false;
+}
+
+void agent::onOrders(const agent_orders &orders, instant now)
+{
+    if (orders.grantedUs != 0) {
+        const instant sent{ duration(orders.grantedUs) };
+        m_authorityUntil = std::max(m_authorityUntil, sent + m_term);
+    }
+    if (orders.number == 0)
+        return;
+    m_ordersSeen = orders.number;
+    const bool current = m_worker && orders.workerStartMs == m_worker->startMs && !m_lapsed;
+    if (current && orders.endsNoted > m_endsNoted) {
+        m_endsNoted = orders.endsNoted;
+        m_ends.erase(m_ends.begin(), m_ends.upper_bound(m_endsNoted));
+    }
+    for (const auto &description : orders.describes) {
+        const auto found = m_runs.find({ description->task, description->run });
+        if (found == m_runs.end())
+            continue;
+        found->second.targetMs = description->targetMs;
+        found->second.fills = description->fills;
+    }
+    for (const auto &stop : orders.stops) {
+        if (current)
+            stopRun({ stop->task, stop->run }, now);
+    }
+    for (const auto &start : orders.starts) {
+        if (current)
+            startRun(*start, now);
+        else
+            refuse({ start->task, start->run }, "worker_gone");
+    }
+}
+
+void agent::refuse(const run_key &key, const std::string &reason)
+{
+    m_runs.erase(key);
+    run_refusal refusal;
+    refusal.task = key.first;
+    refusal.run = key.second;
+    refusal.reason = reason;
+    m_refusals.push_back(std::move(refusal));
+    m_reportNow = true;
+}
+
+void agent::startRun(const start_order &order, instant now)
+{
+    const run_key key{ order.task, order.run };
+    if (m_runs.count(key) > 0)
+        return;
+    if (!m_worker->ready) {
+        refuse(key, "draining");
+        return;
+    }
+    if (m_authorityUntil - now < m_options.shortestLease || m_workerClockMs == 0) {
+        refuse(key, "no_grant");
+        return;
+    }
+    run_state state;
+    state.targetMs = order.targetMs;
+    state.fills = order.fills;
+    state.checkpoint = order.checkpoint;
+    m_runs[key] = state;
+    worker_call start = call(worker_call_kind::start);
+    start.task = order.task;
+    start.run = order.run;
+    start.payload = order.payload;
+    start.checkpoint = order.checkpoint;
+    start.ticket = order.ticket;
+    start.leaseUntilMs = leaseUntil(now);
+    m_calls.push_back(std::move(start));
+}
+
+void agent::callStop(const run_key &key, run_state &state, instant now)
+{
+    state.phase = run_phase::stopping;
+    state.stopOnItsWay = true;
+    state.nextStop = now + m_options.stopRetryInterval;
+    worker_call stop = call(worker_call_kind::stop);
+    stop.task = key.first;
+    stop.run = key.second;
+    m_calls.push_back(std::move(stop));
+}
+
+void agent::stopRun(const run_key &key, instant now)
+{
+    // An end that is still to be noted answers the order.
+    const bool ended = std::any_of(m_ends.begin(), m_ends.end(), [&key](const auto &entry) {
+        return entry.second.task == key.first && entry.second.run == key.second;
+    });
+    if (ended)
+        return;
+    run_state &state = m_runs[key];
+    if (!state.stopOnItsWay && state.phase != run_phase::settling)
+        callStop(key, state, now);
+}
+
+void agent::takeClock(std::int64_t clockMs, instant asked)
+{
+    if (clockMs <= 0)
+        return;
+    // The worker read its clock after the call was sent, so the true value is not lower.
+    m_workerClockMs = clockMs;
+    m_workerClockAt = std::max(asked, m_workerClockAt);
+}
+
+std::int64_t agent::leaseUntil(instant now)
+{
+    if (m_workerClockMs == 0 || m_authorityUntil <= now)
+        return 0;
+    const double slowest = 1 - m_options.clockDrift;
+    const std::chrono::duration<double, std::milli> sinceReading = now - m_workerClockAt;
+    const std::chrono::duration<double, std::milli> remaining = m_authorityUntil - now;
+    m_leasedUntil = std::max(m_leasedUntil, m_authorityUntil);
+    return m_workerClockMs
+            + static_cast<std::int64_t>(slowest * (sinceReading.count() + remaining.count()));
+}
+
+std::uint32_t agent::holdWaitMs() const
+{
+    const bool paced = std::any_of(m_runs.begin(), m_runs.end(),
+                                   [](const auto &entry) { return entry.second.targetMs > 0; });
+    const bool settling = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+        return entry.second.phase == run_phase::settling;
+    });
+    if (settling || !m_listed)
+        return 0;
+    if (m_runs.empty())
+        return idleWaitMs;
+    return paced ? pacedWaitMs : busyWaitMs;
+}
+
+void agent::hold(instant now)
+{
+    worker_call look = call(worker_call_kind::hold);
+    look.number = ++m_holdNumber;
+    look.endsNoted = m_endsNoted;
+    look.waitMs = holdWaitMs();
+    look.leaseUntilMs = leaseUntil(now);
+    m_holdOnItsWay = true;
+    m_holdSent = now;
+    m_calls.push_back(std::move(look));
+}
+
+void agent::onReply(const worker_call &call, const worker_reply &reply, instant now)
+{
+    if (!m_worker || call.workerId != m_worker->id)
+        return;
+    switch (call.kind) {
+    case worker_call_kind::start:
+        onStartReply(call, reply, now);
+        break;
+    case worker_call_kind::stop: {
+        const auto found = m_runs.find({ call.task, call.run });
+        if (found == m_runs.end())
+            break;
+        found->second.stopOnItsWay = false;
+        if (reply.kind == worker_reply_kind::accepted) {
+            found->second.phase = run_phase::settling;
+            found->second.provedByHold = m_holdNumber + 1;
+        }
+        break;
+    }
+    case worker_call_kind::hold:
+        onHoldReply(call, reply, now);
+        break;
+    case worker_call_kind::pace:
+        break; // the next measurement corrects a pace that did not arrive
+    }
+}
+
+void agent::onStartReply(const worker_call &call, const worker_reply &reply, instant now)
+{
+    const run_key key{ call.task, call.run };
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end())
+        return;
+    if (reply.kind == worker_reply_kind::refused || reply.kind == worker_reply_kind::not_running) {
+        refuse(key, reply.reason);
+        return;
+    }
+    if (found->second.phase != run_phase::starting)
+        return;
+    if (reply.kind == worker_reply_kind::accepted) {
+        found->second.phase = run_phase::running;
+        found->second.provedByHold = m_holdNumber + 1;
+        return;
+    }
+    log(log_level::warning, "start_unanswered",
+        { { "task", call.task }, { "run", std::to_string(call.run) } });
+    callStop(key, found->second, now);
+}
+
+void agent::onHoldReply(const worker_call &call, const worker_reply &reply, instant now)
+{
+    if (call.number != m_holdNumber)
+        return; // of an earlier incarnation
+    m_holdOnItsWay = false;
+    if (reply.kind != worker_reply_kind::accepted || !reply.listing) {
+        onUnreachable(reply, now);
+        m_nextHold = now + holdRetryInterval;
+        return;
+    }
+    takeClock(reply.clockMs, m_holdSent);
+    m_failedHolds = 0;
+    m_notRunning = 0;
+    if (!m_responsive || m_lapsed) {
+        m_responsive = true;
+        m_lapsed = false;
+        m_reportNow = true;
+        m_completeNow = true;
+    }
+    m_nextHold = now;
+    if (reply.listing->startMs != 0 && reply.listing->startMs != m_worker->startMs)
+        return; // a new incarnation; it announces itself
+    onListing(*reply.listing, m_holdNumber, now);
+}
+
+void agent::onUnreachable(const worker_reply &reply, instant now)
+{
+    ++m_failedHolds;
+    m_notRunning = reply.kind == worker_reply_kind::not_running ? m_notRunning + 1 : 0;
+    if (m_responsive) {
+        m_responsive = false;
+        m_reportNow = true;
+        log(log_level::warning, "worker_unresponsive", { { "worker", m_worker->id } });
+    }
+    const auto longest = std::chrono::duration_cast<duration>(m_term * m_options.clockDrift);
+    const bool leasesEnded = now > m_leasedUntil + longest + m_options.leaseMargin;
+    if (m_lapsed || (!leasesEnded && m_notRunning < notRunningProof))
+        return;
+    log(log_level::warning, "worker_lost",
+        { { "worker", m_worker->id },
+          { "runs", std::to_string(m_runs.size()) },
+          { "reason", leasesEnded ? "leases_ended" : "not_running" } });
+    m_lapsed = true;
+    m_runs.clear();
+    m_reportNow = true;
+}
+
+void agent::onListing(const worker_listing &listing, std::uint64_t holdNumber, instant now)
+{
+    m_completeNow = m_completeNow || !m_listed;
+    m_listed = true;
+    for (const run_end &end : listing.ended) {
+        m_runs.erase({ end.task, end.run });
+        if (end.number <= m_lastEnd || end.number <= m_endsNoted)
+            continue;
+        m_lastEnd = end.number;
+        m_ends[end.number] = end;
+        m_newEnds.push_back(end);
+        m_reportNow = true;
+    }
+    std::map<run_key, const run_status *> running;
+    for (const run_status &each : listing.running)
+        running[{ each.task, each.run }] = &each;
+    for (const auto &[key, status] : running) {
+        const bool known = m_runs.count(key) > 0;
+        run_state &state = m_runs[key];
+        if (!known) {
+            state.phase = run_phase::running;
+            state.provedByHold = m_holdNumber + 1;
+            m_completeNow = true;
+            m_reportNow = true;
+        }
+        if (!status->checkpoint.empty())
+            state.checkpoint = status->checkpoint;
+        state.percent = status->percent;
+        state.usage = status->usage;
+    }
+    std::vector<run_key> absent;
+    for (auto &[key, state] : m_runs) {
+        const bool listed = running.count(key) > 0;
+        const bool proved = state.provedByHold > 0 && holdNumber >= state.provedByHold;
+        if (!listed && proved
+            && (state.phase == run_phase::settling || state.phase == run_phase::running))
+            absent.push_back(key);
+        // A stop takes a while; without an end it is sent again.
+        if (listed && state.phase == run_phase::settling && now >= state.nextStop)
+            state.phase = run_phase::stopping;
+    }
+    for (const run_key &key : absent)
+        refuse(key, "not_there");
+    pace();
+}
+
+void agent::pace()
+{
+    std::vector<paced_task> tasks;
+    for (const auto &[key, state] : m_runs) {
+        if (state.phase != run_phase::running)
+            continue;
+        if (state.targetMs > 0 || state.fills)
+            tasks.push_back({ key.first, state.fills, state.targetMs, state.usage });
+    }
+    const auto changes = m_pacing.measure(tasks);
+    for (const auto &[key, state] : m_runs) {
+        const auto change = changes.find(key.first);
+        if (change == changes.end() || !state.fills)
+            continue;
+        worker_call slow = call(worker_call_kind::pace);
+        slow.task = key.first;
+        slow.run = key.second;
+        slow.percent = change->second;
+        m_calls.push_back(std::move(slow));
+    }
+}
+
+void agent::tick(instant now)
+{
+    if (m_worker && m_epoch > 0) {
+        if (!m_holdOnItsWay && now >= m_nextHold)
+            hold(now);
+        for (auto &[key, state] : m_runs) {
+            if (state.phase == run_phase::stopping && !state.stopOnItsWay && now >= state.nextStop)
+                callStop(key, state, now);
+        }
+    }
+    if (m_ownerConnected && (m_reportNow || now - m_lastReport >= m_options.reportInterval))
+        report(now);
+}
+
+void agent::report(instant now)
+{
+    agent_report content;
+    content.sentUs = now.time_since_epoch().count();
+    content.ordersSeen = m_ordersSeen;
+    content.responsive = m_responsive;
+    content.lapsed = m_lapsed;
+    if (m_worker && !m_workerReported) {
+        content.worker = std::make_unique<worker_info>(*m_worker);
+        m_workerReported = true;
+    }
+    for (run_end &end : m_newEnds)
+        content.ended.push_back(std::make_unique<run_end>(std::move(end)));
+    m_newEnds.clear();
+    for (run_refusal &refusal : m_refusals)
+        content.refused.push_back(std::make_unique<run_refusal>(std::move(refusal)));
+    m_refusals.clear();
+    // Before the first listing, the agent cannot say what runs.
+    const bool due = m_completeNow || now - m_lastComplete >= m_options.completeReportInterval;
+    if (due && m_worker && (m_listed || m_lapsed)) {
+        content.complete = true;
+        m_completeNow = false;
+        m_lastComplete = now;
+        for (const auto &[key, state] : m_runs) {
+            if (state.phase == run_phase::running) {
+                auto status = std::make_unique<run_status>();
+                status->task = key.first;
+                status->run = key.second;
+                status->checkpoint = state.checkpoint;
+                status->percent = state.percent;
+                status->usage = state.usage;
+                content.running.push_back(std::move(status));
+            } else {
+                auto starting = std::make_unique<run_ref>();
+                starting->task = key.first;
+                starting->run = key.second;
+                content.starting.push_back(std::move(starting));
+            }
+        }
+        // An end that is reported already and not noted yet is no missing run.
+        for (const auto &[number, end] : m_ends) {
+            auto ended = std::make_unique<run_ref>();
+            ended->task = end.task;
+            ended->run = end.run;
+            content.starting.push_back(std::move(ended));
+        }
+    }
+    m_reportNow = false;
+    m_lastReport = now;
+    m_reports.push_back(std::move(content));
+}
+
+std::vector<worker_call> agent::takeCalls()
+{
+    return std::exchange(m_calls, {});
+}
+
+std::vector<agent_report> agent::takeReports()
+{
+    return std::exchange(m_reports, {});
+}
+
+std::vector<write_log> agent::takeLogLines()
+{
+    return std::exchange(m_logLines, {});
+}
+
+void agent::log(log_level level, const char *event,
+                std::vector<std::pair<std::string, std::string>> fields)
+{
+    m_logLines.push_back({ level, event, std::move(fields) });
+}
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/libsched/gateway.cpp
@@ -0,0 +1,123 @@
+#include "plantainpitch/sched/gateway.h"
+
+namespace plantainpitch::sched {
+
+bool gateway::ownerOpened(const owner_hello &hello, instant /*now*/)
+{
+    if (hello.epoch < m_epoch)
+        return false;
+    log(log_level::info, "owner_connected",
+        { { "owner", hello.node },
+          { "epoch", std::to_string(hello.epoch) },
+          { "open_calls", std::to_string(m_calls.size()) } });
+    m_epoch = hello.epoch;
+    m_connected = true;
+    for (auto &[number, entry] : m_calls)
+        send(entry);
+    return true;
+}
+
+void gateway::ownerClosed(instant /*now*/)
+{
+    if (m_connected)
+        log(log_level::warning, "owner_lost", { { "epoch", std::to_string(m_epoch) } });
+    m_connected = false;
+    for (auto &[number, entry] : m_calls)
+        entry.waiting = true;
+}
+
+void gateway::send(open_call &entry)
+{
+    entry.sent = true;
+    entry.waiting = false;
+    m_messages.push_back(makeMessage(entry.content));
+}
+
+void gateway::call(client_call call, instant deadline, instant now)
+{
+    open_call entry;
+    entry.content = std::move(call);
+    entry.received = now;
+    entry.deadline = deadline;
+    if (m_connected)
+        send(entry);
+    m_calls.emplace(entry.content.number, std::move(entry));
+}
+
+void gateway::finish(const open_call &entry, gateway_status status, const client_answer &content)
+{
+    gateway_answer answer;
+    answer.number = entry.content.number;
+    answer.status = status;
+    answer.content = content;
+    if (status == gateway_status::not_accepted)
+        answer.retryAfterMs = content.retryAfterMs > 0 ? content.retryAfterMs : retryAfterMs;
+    m_answers.push_back(std::move(answer));
+}
+
+void gateway::onAnswer(const client_answer &answer)
+{
+    const auto found = m_calls.find(answer.number);
+    if (found == m_calls.end())
+        return;
+    switch (static_cast<call_outcome>(answer.outcome)) {
+    case call_outcome::done:
+        finish(found->second, gateway_status::done, answer);
+        break;
+    case call_outcome::unknown_job:
+        finish(found->second, gateway_status::unknown_job, answer);
+        break;
+    case call_outcome::rejected:
+    case call_outcome::unavailable:
+        finish(found->second, gateway_status::not_accepted, answer);
+        break;
+    }
+    m_calls.erase(found);
+}
+
+void gateway::tick(instant now)
+{
+    for (auto entry = m_calls.begin(); entry != m_calls.end();) {
+        open_call &call = entry->second;
+        const bool unsent = call.waiting && !call.sent;
+        const bool expired = now >= call.deadline
+                || (call.waiting && now - call.received >= longestWithoutOwner);
+        if (!expired) {
+            ++entry;
+            continue;
+        }
+        log(log_level::warning, "call_without_answer",
+            { { "job", call.content.job },
+              { "owner", m_connected ? "connected" : "none" },
+              { "sent", call.sent ? "yes" : "no" } });
+        // A query changes nothing, so it is never in doubt.
+        const auto kind = static_cast<call_kind>(call.content.kind);
+        const bool changes = kind == call_kind::submit || kind == call_kind::cancel;
+        finish(call, unsent || !changes ? gateway_status::not_accepted : gateway_status::unknown,
+               {});
+        entry = m_calls.erase(entry);
+    }
+}
+
+std::vector<message> gateway::takeMessages()
+{
+    return std::exchange(m_messages, {});
+}
+
+std::vector<gateway_answer> gateway::takeAnswers()
+{
+    return std::exchange(m_answers, {});
+}
+
+std::vector<write_log> gateway::takeLogLines()
+{
+    return std::exchange(m_logLines, {});
+}
+
+void gateway::log(log_level level, const char *event,
+                  std::vector<std::pair<std::string, std::string>> fields)
+{
+    m_logLines.push_back({ level, event, std::move(fields) });
+}
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/libsched/messages.cpp
@@ -0,0 +1,84 @@
+#include "plantainpitch/sched/messages.h"
+
+#include "plantainpitch/model/error.h"
+
+namespace plantainpitch::sched {
+
+namespace {
+
+template <typename Table, typename Native>
+std::string encode(const Native &value)
+{
+    flatbuffers::FlatBufferBuilder builder(512);
+    builder.Finish(Table::Pack(builder, &value));
+    return { reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+template <typename Table>
+typename Table::NativeTableType decode(std::string_view bytes, const char *what)
+{
+    const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!verifier.VerifyBuffer<Table>(nullptr)) {
+        throw error(error_kind::protocol_error,
+                    std::string("the bytes are not a ") + what,
+                    "check that all processes run the same release");
+    }
+    typename Table::NativeTableType value;
+    flatbuffers::GetRoot<Table>(data)->UnPackTo(&value);
+    return value;
+}
+
+} // namespace
+
+std::string encodeMessage(const message &content)
+{
+    return encode<fb::message>(content);
+}
+
+message decodeMessage(std::string_view bytes)
+{
+    message result = decode<fb::message>(bytes, "message");
+    if (result.content.type == fb::content::NONE || !result.content.value) {
+        throw error(error_kind::protocol_error, "the message has no content",
+                    "check that all processes run the same release");
+    }
+    return result;
+}
+
+std::string encodeSubmission(const submission &record)
+{
+    return encode<fb::submission>(record);
+}
+
+submission decodeSubmission(std::string_view bytes)
+{
+    submission result = decode<fb::submission>(bytes, "submission");
+    if (!result.spec) {
+        throw error(error_kind::protocol_error, "the submission has no job specification",
+                    "check which process wrote the record");
+    }
+    return result;
+}
+
+std::string encodeProgress(const progress &record)
+{
+    return encode<fb::progress>(record);
+}
+
+progress decodeProgress(std::string_view bytes)
+{
+    return decode<fb::progress>(bytes, "progress record");
+}
+
+std::string encodeMember(const member &record)
+{
+    return encode<fb::member>(record);
+}
+
+member decodeMember(std::string_view bytes)
+{
+    return decode<fb::member>(bytes, "member record");
+}
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/libsched/scheduler.cpp
@@ -0,0 +1,175 @@
+#include "plantainpitch/sched/scheduler.h"
+
+#include <algorithm>
+
+namespace plantainpitch::sched {
+
+namespace {
+
+constexpr char submissionPrefix = 'j';
+constexpr char progressPrefix = 'p';
+/// Retries and schedules that come due need a pass although no event announces them.
+constexpr std::chrono::milliseconds passInterval{ 250 };
+
+} // namespace
+
+scheduler::scheduler(const scheduler_options &options, const placement_policy &placement,
+                     const waiting_order &order)
+    : m_options(options)
+    , m_placement(placement)
+    , m_order(order)
+{}
+
+void scheduler::load(const stored_record &record)
+{
+    if (record.key.empty() || record.value.empty())
+        return;
+    const std::string id = record.key.substr(1);
+    if (record.key.front() == submissionPrefix) {
+        auto loaded = std::make_unique<job>();
+        loaded->request = decodeSubmission(record.value);
+        loaded->stored = true;
+        m_jobs[id] = std::move(loaded);
+    } else if (record.key.front() == progressPrefix) {
+        m_loadedProgress[id] = decodeProgress(record.value);
+    }
+}
+
+void scheduler::finishLoading(instant now, std::int64_t wallMs)
+{
+    m_takeover = now;
+    m_confirmed = now;
+    m_loaded = true;
+    for (auto &[id, entry] : m_jobs) {
+        job &target = *entry;
+        const auto age = std::chrono::milliseconds(
+                std::max<std::int64_t>(0, wallMs - target.request.receivedMs));
+        target.received = now - age;
+        const auto stored = m_loadedProgress.find(id);
+        if (stored != m_loadedProgress.end())
+            applyProgress(target, stored->second);
+        if (!target.ended()) {
+            addDueOccurrences(target, wallMs);
+            m_open.push_back(&target);
+        }
+        target.shown = target.state();
+    }
+    m_loadedProgress.clear();
+    // A run of an earlier owner may be leased by a grant that was given just before.
+    for (auto &[key, where] : m_workers) {
+        const auto longest = m_options.staleOwner + m_options.term * (1 + m_options.clockDrift);
+        where->leasedUntil = now + std::chrono::duration_cast<duration>(longest)
+                + m_options.leaseMargin;
+    }
+    m_roomChanged = true;
+    log(log_level::info, "partition_taken",
+        { { "epoch", std::to_string(m_options.epoch) },
+          { "jobs", std::to_string(m_jobs.size()) },
+          { "open", std::to_string(m_open.size()) } });
+}
+
+void scheduler::setConfig(const fleet_config &config)
+{
+    if (config.version < m_config.version)
+        return;
+    for (const auto &[name, queue] : m_config.queues)
+        m_formerQueues[name] = queue;
+    m_config = config;
+    for (job *target : m_open) {
+        if (const queue_config *queue = queueOf(*target)) {
+            const double chain = queue->stretch * static_cast<double>(target->longestChainMs());
+            target->objective = target->received
+                    + std::chrono::milliseconds(static_cast<std::int64_t>(chain)
+                                                + queue->targetLatencyMs);
+        }
+    }
+    m_roomChanged = true;
+}
+
+const job *scheduler::findJob(const std::string &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+void scheduler::tick(instant now, std::int64_t wallMs)
+{
+    if (!m_loaded)
+        return;
+    dropLostWorkers(now);
+    for (job *target : m_open)
+        addDueOccurrences(*target, wallMs);
+    removeOldJobs(wallMs);
+    if (now - m_lastPass >= passInterval)
+        m_roomChanged = true;
+}
+
+std::optional<std::vector<stored_record>> scheduler::nextCommit(instant now, std::int64_t wallMs)
+{
+    if (m_commitInFlight || !m_loaded)
+        return std::nullopt;
+    if (m_roomChanged)
+        schedulePass(now);
+    std::vector<stored_record> records;
+    for (job *target : m_changed) {
+        const std::string &id = target->request.id;
+        if (target->submissionChanged)
+            records.push_back({ submissionPrefix + id, encodeSubmission(target->request) });
+        if (target->progressChanged) {
+            if (target->ended() && target->endedMs == 0)
+                target->endedMs = wallMs;
+            records.push_back({ progressPrefix + id, encodeProgress(progressOf(*target)) });
+        }
+        target->submissionChanged = false;
+        target->progressChanged = false;
+        m_staged.shown.emplace_back(id, target->state());
+    }
+    m_changed.clear();
+    for (const std::string &id : m_removedKeys) {
+        records.push_back({ submissionPrefix + id, {} });
+        records.push_back({ progressPrefix + id, {} });
+    }
+    m_removedKeys.clear();
+    m_inFlight = std::move(m_staged);
+    m_staged = {};
+    m_commitInFlight = true;
+    if (!records.empty())
+        return records;
+    commitDone(now);
+    return std::nullopt;
+}
+
+void scheduler::commitDone(instant /*now*/)
+{
+    m_commitInFlight = false;
+    for (const auto &[id, state] : m_inFlight.shown) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end())
+            continue;
+        found->second->shown = state;
+        found->second->stored = true;
+    }
+    for (auto &[node, orders] : m_inFlight.orders)
+        m_messages.push_back({ node, makeMessage(std::move(orders)) });
+    for (outgoing_message &content : m_inFlight.messages)
+        m_messages.push_back(std::move(content));
+    m_inFlight = {};
+}
+
+std::vector<outgoing_message> scheduler::takeMessages()
+{
+    return std::exchange(m_messages, {});
+}
+
+std::vector<write_log> scheduler::takeLogLines()
+{
+    return std::exchange(m_logLines, {});
+}
+
+void scheduler::log(log_level level, const char *event,
+                    std::vector<std::pair<std::string, std::string>> fields)
+{
+    m_logLines.push_back({ level, event, std::move(fields) });
+}
+
+} // namespace plantainpitch::sched
--- /dev/null
+++ b/src/libsched/scheduler_workers.cpp
@@ -0,0 +1,233 @@
+#include "plantainpitch/sched/scheduler.h"
+
+#include <algorithm>
+
+namespace plantainpitch::sched {
+
+namespace {
+
+/// Without an answer of the store for this long, grants need the contact to most agents: another
+/// process may have become the owner.
+constexpr std::chrono::milliseconds confirmationValid{ 2'500 };
+
+/// Workers carry their kind first, then their rack.
+std::string rackOf(const worker_info &info)
+{
+    return info.labels.size() > 1 ? info.labels[1] : std::string();
+}
+
+} // namespace
+
+void scheduler::setAgents(std::set<std::string> nodes)
+{
+    m_agents = std::move(nodes);
+}
+
+bool scheduler::hasMajority() const
+{
+    return m_connected.size() * 2 > m_agents.size();
+}
+
+void scheduler::agentOpened(const std::string &node, instant /*now*/)
+{
+    m_agents.insert(node);
+    m_connected.insert(node);
+    // Orders that were sent on an earlier connection have arrived there or never will.
+    const auto found = m_workerByNode.find(node);
+    if (found == m_workerByNode.end())
+        return;
+    for (auto &[name, held] : found->second->runs)
+        held.orderNumber = 0;
+}
+
+void scheduler::agentClosed(const std::string &node, instant /*now*/)
+{
+    m_connected.erase(node);
+    const auto found = m_workerByNode.find(node);
+    if (found == m_workerByNode.end())
+        return;
+    found->second->connected = false;
+    log(log_level::warning, "agent_lost",
+        { { "node", node },
+          { "worker", found->second->key.id },
+          { "runs", std::to_string(found->second->runs.size()) } });
+}
+
+worker &scheduler::workerAt(const std::string &node, const worker_info &info, instant now)
+{
+    const worker_key key{ info.id, info.startMs };
+    const auto current = m_workerByNode.find(node);
+    if (current != m_workerByNode.end() && current->second->key != key) {
+        // The worker has started anew and runs nothing of before.
+        loseRuns(*current->second, "worker_restarted");
+        m_workers.erase(current->second->key);
+        m_workerByNode.erase(current);
+    }
+    auto &entry = m_workers[key];
+    if (!entry) {
+        entry = std::make_unique<worker>();
+        entry->key = key;
+    }
+    // Earlier incarnations that are known from stored records only are gone as well.
+    for (auto each = m_workers.begin(); each != m_workers.end();) {
+        const worker &other = *each->second;
+        const bool replaced = other.key.id == key.id && other.key.startMs < key.startMs;
+        if (!replaced) {
+            ++each;
+            continue;
+        }
+        loseRuns(*each->second, "worker_restarted");
+        m_workerByNode.erase(other.agent);
+        each = m_workers.erase(each);
+    }
+    entry->agent = node;
+    entry->service = info.service;
+    entry->dataCentre = info.dataCentre;
+    entry->labels = info.labels;
+    entry->rack = rackOf(info);
+    entry->capacity = { info.cpu, info.memoryMb, info.accelerators };
+    entry->leasedUntil = std::max(entry->leasedUntil, now);
+    if (entry->ready != info.ready) {
+        log(log_level::info, "worker_state",
+            { { "worker", key.id },
+              { "node", node },
+              { "ready", info.ready ? "yes" : "no" },
+              { "rack", entry->rack } });
+    }
+    entry->ready = info.ready;
+    m_workerByNode[node] = entry.get();
+    m_roomChanged = true;
+    return *entry;
+}
+
+void scheduler::describe(worker &where, const std::vector<std::string> &names)
+{
+    for (const std::string &name : names) {
+        const task_place place = find(name);
+        if (!place.item)
+            continue;
+        const step_spec &spec = place.owner->stepSpec(task_name::parse(name)->step);
+        if (spec.targetMs == 0 && !spec.fills)
+            continue;
+        auto description = std::make_unique<start_order>();
+        description->task = name;
+        description->run = place.item->run;
+        description->targetMs = spec.targetMs;
+        description->fills = spec.fills;
+        ordersFor(where).describes.push_back(std::move(description));
+    }
+}
+
+void scheduler::reconcile(worker &where, const agent_report &report)
+{
+    std::set<std::pair<std::string, std::uint32_t>> present;
+    std::vector<std::string> unknownToAgent;
+    for (const auto &each : report.starting)
+        present.emplace(each->task, each->run);
+    for (const auto &each : report.ended)
+        present.emplace(each->task, each->run);
+    for (const auto &each : report.running) {
+        present.emplace(each->task, each->run);
+        const task_place place = find(each->task);
+        const bool current = place.item && place.item->phase == task_phase::active
+                && place.item->run == each->run && place.item->place == where.key
+                && !place.owner->ended();
+        if (!current) {
+            if (place.item && where.runs.count(each->task) == 0) {
+                const step_spec &spec = place.owner->stepSpec(task_name::parse(each->task)->step);
+                where.runs[each->task] = { .run = each->run, .amount = reservation(spec) };
+                where.used = where.used + reservation(spec);
+            }
+            orderStop(where, each->task, each->run);
+            continue;
+        }
+        if (!each->checkpoint.empty())
+            place.item->checkpoint = each->checkpoint;
+        if (!place.item->seen) {
+            place.item->seen = true;
+            unknownToAgent.push_back(each->task);
+        }
+    }
+    // Runs that were ordered and are not there: a stop makes sure that they never start.
+    for (const auto &[name, held] : where.runs) {
+        if (present.count({ name, held.run }) == 0 && held.orderNumber <= report.ordersSeen)
+            orderStop(where, name, held.run);
+    }
+    describe(where, unknownToAgent);
+}
+
+void scheduler::onReport(const std::string &node, const agent_report &report, instant now)
+{
+    if (!m_loaded)
+        return;
+    if (report.worker)
+        workerAt(node, *report.worker, now);
+    const auto found = m_workerByNode.find(node);
+    if (found == m_workerByNode.end()) {
+        grant(node, nullptr, report, now);
+        return;
+    }
+    worker &where = *found->second;
+    if (report.responsive != where.responsive)
+        m_roomChanged = true;
+    where.responsive = report.responsive;
+    std::uint64_t lastEnd = 0;
+    for (const auto &end : report.ended) {
+        onEnd(where, *end, now);
+        lastEnd = std::max(lastEnd, end->number);
+    }
+    for (const auto &refusal : report.refused)
+        onRefusal(where, *refusal, now);
+    if (report.lapsed)
+        loseRuns(where, "leases_ended");
+    if (lastEnd > 0) {
+        agent_orders &orders = ordersFor(where);
+        orders.endsNoted = std::max(orders.endsNoted, lastEnd);
+    }
+    if (report.complete) {
+        where.connected = true;
+        reconcile(where, report);
+    }
+    grant(node, &where, report, now);
+}
+
+void scheduler::grant(const std::string &node, worker *where, const agent_report &report,
+                      instant now)
+{
+    if (now - m_confirmed > confirmationValid && !hasMajority()) {
+        log(log_level::warning, "grant_withheld",
+            { { "node", node },
+              { "connected", std::to_string(m_connected.size()) },
+              { "agents", std::to_string(m_agents.size()) } });
+        return;
+    }
+    agent_orders orders;
+    orders.grantedUs = report.sentUs;
+    m_messages.push_back({ node, makeMessage(std::move(orders)) });
+    if (!where)
+        return;
+    const auto term = std::chrono::duration_cast<duration>(m_options.term
+                                                           * (1 + m_options.clockDrift));
+    where->leasedUntil = std::max(where->leasedUntil, now + term + m_options.leaseMargin);
+}
+
+void scheduler::dropLostWorkers(instant now)
+{
+    // Another owner might still grant to agents that this one does not reach.
+    if (!hasMajority())
+        return;
+    for (auto each = m_workers.begin(); each != m_workers.end();) {
+        worker &where = *each->second;
+        if (where.connected || now < where.leasedUntil) {
+            ++each;
+            continue;
+        }
+        loseRuns(where, "leases_ended");
+        const auto byNode = m_workerByNode.find(where.agent);
+        if (byNode != m_workerByNode.end() && byNode->second == &where)
+            m_workerByNode.erase(byNode);
+        each = m_workers.erase(each);
+    }
+}
+
+} // namespace plantainpitch::sched
