Take the epoch of an ownership from the partition's end, not from the group's generation

Ruled out: a lost batch (the store asked for number 1329 at every try). Each owner now stores its epoch first, so that the end moves between two owners.

--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -42,7 +42,7 @@
 
     void join();
     void onJoined(const sched::join_result &result, instant sent);
-    void begin(std::uint64_t epoch);
+    void begin();
     void load(const std::shared_ptr<tenure> &current);
     void onLoaded(const std::shared_ptr<tenure> &current,
                   const std::vector<sched::stored_record> &records);
--- a/src/include/plantainpitch/sched/partition_store.h
+++ b/src/include/plantainpitch/sched/partition_store.h
@@ -34,8 +34,9 @@
     virtual void join(std::uint64_t generation, std::function<void(join_result)> done) = 0;
     /// Leaves the group, so that another member gets the partition at once.
     virtual void leave(std::function<void()> done) = 0;
-    /// From now on, batches of lower epochs are refused.
-    virtual void fence(std::uint64_t epoch, std::function<void(append_status)> done) = 0;
+    /// Begins an epoch that is higher than all before; batches of those are refused from now on.
+    /// The order of epochs holds only if each owner stores something at the start of its epoch.
+    virtual void beginEpoch(std::function<void(append_status, std::uint64_t epoch)> done) = 0;
     /// Stores a batch as a whole. \a number counts the batches of an epoch from 1; a batch that is
     /// sent again under its number is stored once.
     virtual void append(std::uint64_t epoch, std::uint64_t number,
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -21,12 +21,11 @@
 /// One time as owner of the partition.
 struct owner_process::tenure
 {
-    tenure(asio::io_context &context, std::uint64_t number)
-        : epoch(number)
-        , retryTimer(context)
+    explicit tenure(asio::io_context &context)
+        : retryTimer(context)
     {}
 
-    std::uint64_t epoch;
+    std::uint64_t epoch = 0;
     asio::steady_timer retryTimer;
     std::optional<sched::scheduler> scheduler;
     std::optional<member_dialer> members;
@@ -83,20 +82,23 @@
         return;
     m_generation = result.generation;
     if (result.ownsPartition && !m_tenure)
-        begin(result.generation);
+        begin();
     else if (!result.ownsPartition && m_tenure)
         end("reassigned");
     if (m_tenure && m_tenure->scheduler)
         m_tenure->scheduler->confirmOwnership(sent);
 }
 
-void owner_process::begin(std::uint64_t epoch)
+void owner_process::begin()
 {
-    writeLog(log_level::info, "partition_assigned", { { "epoch", std::to_string(epoch) } });
-    m_tenure = std::make_shared<tenure>(m_context, epoch);
-    m_store.fence(epoch, [this, current = m_tenure](sched::append_status status) {
+    writeLog(log_level::info, "partition_assigned",
+             { { "generation", std::to_string(m_generation) } });
+    m_tenure = std::make_shared<tenure>(m_context);
+    m_store.beginEpoch([this, current = m_tenure](sched::append_status status,
+                                                  std::uint64_t epoch) {
         if (m_tenure != current)
             return;
+        current->epoch = epoch;
         if (status != sched::append_status::stored)
             end(status == sched::append_status::fenced ? "fenced" : "store_unavailable");
         else
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -9,6 +9,19 @@
 /// A job of which nobody knows the queue yet is tried again by the client after that time.
 constexpr std::uint32_t notReadyRetryMs = 300;
 
+/// Tasks, processors and estimate of each step, for log lines.
+std::string describeSteps(const job_spec &spec)
+{
+    std::string text;
+    for (const auto &step : spec.steps) {
+        text += (text.empty() ? "" : ",") + std::to_string(step->count) + 'x'
+                + std::to_string(step->cpu) + "mcpu/" + std::to_string(step->estimateMs) + "ms"
+                + (step->fills ? "/fills" : "") + (step->targetMs > 0 ? "/serves" : "")
+                + (step->maxPerVm > 0 ? "/apart" + std::to_string(step->maxPerVm) : "");
+    }
+    return text;
+}
+
 } // namespace
 
 const queue_config *scheduler::queueOf(const job &target) const
@@ -273,6 +286,7 @@
         log(log_level::info, "job_accepted",
             { { "job", call.job },
               { "queue", call.submitted->queue },
+              { "steps", describeSteps(*call.submitted->spec) },
               { "config", std::to_string(m_config.version) } });
     }
     answer(node, call.number, call_outcome::done, known, !known->stored);
