--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -61,7 +61,7 @@
     const runtime::clock &m_time;
     runtime::logging &m_log;
     const owner_process_options m_options;
-    sched::spread_placement m_placement;
+    sched::isolating_placement m_placement;
     sched::deadline_order m_order;
     std::optional<sched::fleet_config> m_config;
     sched::config_document m_document;
--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -79,4 +79,7 @@
 /// What one task of the step reserves; a step that fills reserves no processors.
 resources reservation(const step_spec &step);
 
+/// What a run of the step holds on its worker.
+allocation allocationFor(const step_spec &step, std::uint32_t run);
+
 } // namespace plantainpitch::sched
--- a/src/include/plantainpitch/sched/placement_policy.h
+++ b/src/include/plantainpitch/sched/placement_policy.h
@@ -13,6 +13,9 @@
 public:
     virtual ~placement_policy() = default;
 
+    /// Whether a task of the step may run there beside what does, if it has room for it.
+    [[nodiscard]] virtual bool admits(const worker &candidate, const step_spec &step) const = 0;
+
     /// One of \a candidates, which all have room and may run the step; nullptr if waiting is
     /// better. \a previous is the place of the task's last run, which may have failed.
     [[nodiscard]] virtual worker *choose(const std::vector<worker *> &candidates,
@@ -24,6 +27,23 @@
 class spread_placement : public placement_policy
 {
 public:
+    [[nodiscard]] bool admits(const worker & /*candidate*/,
+                              const step_spec & /*step*/) const override
+    {
+        return true;
+    }
+    [[nodiscard]] worker *choose(const std::vector<worker *> &candidates, const step_spec &step,
+                                 const task &previous) const override;
+};
+
+/// Keeps tasks that fill away from VMs with tasks that serve, and gives them no more processors than
+/// are left over. Serving tasks share as few VMs as their steps allow. Answers a load in which
+/// filling work would use every VM: it disturbs serving tasks everywhere, is paced down everywhere,
+/// and neither is done in time.
+class isolating_placement : public placement_policy
+{
+public:
+    [[nodiscard]] bool admits(const worker &candidate, const step_spec &step) const override;
     [[nodiscard]] worker *choose(const std::vector<worker *> &candidates, const step_spec &step,
                                  const task &previous) const override;
 };
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -24,8 +24,8 @@
 {
     std::uint32_t run = 0;
     resources amount;
-    bool fills = false;
-    bool serves = false;
+    std::int64_t fillingCpu = 0; ///< left-over processors that it would use, thousandths of a core
+    bool serves = false; ///< has a latency target
     bool stopOrdered = false;
     /// Number of the orders that carry the start; 0: the agent has had its chance to see them.
     std::uint64_t orderNumber = 0;
@@ -42,7 +42,8 @@
     std::vector<std::string> labels;
     resources capacity;
     resources used;
-    std::int64_t fillingCpu = 0; ///< demand of runs that use left-over capacity
+    std::int64_t fillingCpu = 0; ///< demand of runs that use left-over processors
+    std::uint32_t serving = 0; ///< runs that have a latency target
     bool ready = false; ///< not draining
     bool responsive = false;
     bool connected = false; ///< the agent is connected and its runs are known
@@ -56,6 +57,16 @@
     std::uint32_t avoidances = 0;
 
     [[nodiscard]] resources room() const { return capacity - used; }
+    /// Processors that neither reservations nor filling runs ask for, thousandths of a core.
+    [[nodiscard]] std::int64_t leftOverCpu() const
+    {
+        return capacity.cpu - used.cpu - fillingCpu;
+    }
+
+    /// Reserves resources for a run; replaces an earlier run of the same task.
+    void hold(const std::string &name, const allocation &amount);
+    /// Frees the resources of that run; returns false if it holds none.
+    bool release(const std::string &name, std::uint32_t run);
 };
 
 } // namespace plantainpitch::sched
--- a/src/libsched/job.cpp
+++ b/src/libsched/job.cpp
@@ -59,4 +59,12 @@
              .accelerators = step.accelerators };
 }
 
+allocation allocationFor(const step_spec &step, std::uint32_t run)
+{
+    return { .run = run,
+             .amount = reservation(step),
+             .fillingCpu = step.fills ? static_cast<std::int64_t>(step.cpu) : 0,
+             .serves = step.targetMs > 0 };
+}
+
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -118,14 +118,8 @@
             where->key = item.place;
         }
         const step_spec &spec = target.stepSpec(stored->step);
-        const allocation reserved{ .run = item.run,
-                                   .amount = reservation(spec),
-                                   .fills = spec.fills,
-                                   .serves = spec.targetMs > 0 };
-        where->used = where->used + reserved.amount;
-        where->fillingCpu += spec.fills ? spec.cpu : 0;
         const task_name name{ target.request.id, stored->occurrence, stored->step, stored->index };
-        where->runs[name.text()] = reserved;
+        where->hold(name.text(), allocationFor(spec, item.run));
     }
     for (occurrence &within : target.occurrences) {
         within.doneSteps = static_cast<std::uint32_t>(
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -74,17 +74,8 @@
 
 void scheduler::release(worker &where, const std::string &name, std::uint32_t run)
 {
-    const auto found = where.runs.find(name);
-    if (found == where.runs.end() || found->second.run != run)
-        return;
-    where.used = where.used - found->second.amount;
-    if (found->second.fills) {
-        const task_place place = find(name);
-        if (place.item)
-            where.fillingCpu -= place.owner->stepSpec(task_name::parse(name)->step).cpu;
-    }
-    where.runs.erase(found);
-    m_roomChanged = true;
+    if (where.release(name, run))
+        m_roomChanged = true;
 }
 
 agent_orders &scheduler::ordersFor(worker &where)
@@ -219,6 +210,7 @@
     const auto runs = std::exchange(where.runs, {});
     where.used = {};
     where.fillingCpu = 0;
+    where.serving = 0;
     for (const auto &[name, held] : runs) {
         const task_place place = find(name);
         if (place.item && place.item->phase == task_phase::active && place.item->run == held.run)
@@ -237,7 +229,7 @@
     for (auto &[key, where] : m_workers) {
         if (!where->connected || !where->ready || !where->responsive
             || where->service != queue.service || where->avoidUntil > now
-            || !needed.fits(where->room()))
+            || !needed.fits(where->room()) || !m_placement.admits(*where, spec))
             continue;
         const auto &labels = where->labels;
         if (!spec.requiredLabel.empty()
@@ -270,15 +262,10 @@
     item.place = where.key;
     item.seen = false;
     target.started = true;
-    const allocation reserved{ .run = run,
-                               .amount = reservation(spec),
-                               .fills = spec.fills,
-                               .serves = spec.targetMs > 0 };
-    where.used = where.used + reserved.amount;
-    where.fillingCpu += spec.fills ? spec.cpu : 0;
     agent_orders &orders = ordersFor(where);
-    where.runs[name] = reserved;
-    where.runs[name].orderNumber = orders.number;
+    allocation held = allocationFor(spec, run);
+    held.orderNumber = orders.number;
+    where.hold(name, held);
     changed(target);
 
     auto order = std::make_unique<start_order>();
@@ -320,7 +307,7 @@
         start(target, within, step, index, *where, gang ? gangRun : item.run + 1);
         if (target.stepSpec(step).maxPerVm > 0)
             usable = candidates(target, queue, within, step, now);
-        else if (!needed.fits(where->room()))
+        else if (!needed.fits(where->room()) || !m_placement.admits(*where, target.stepSpec(step)))
             usable.erase(std::remove(usable.begin(), usable.end(), where), usable.end());
     }
 }
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -135,8 +135,7 @@
         if (!current) {
             if (place.item && where.runs.count(each->task) == 0) {
                 const step_spec &spec = place.owner->stepSpec(task_name::parse(each->task)->step);
-                where.runs[each->task] = { .run = each->run, .amount = reservation(spec) };
-                where.used = where.used + reservation(spec);
+                where.hold(each->task, allocationFor(spec, each->run));
             }
             orderStop(where, each->task, each->run);
             continue;
