--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -62,7 +62,7 @@
     runtime::logging &m_log;
     const owner_process_options m_options;
     sched::isolating_placement m_placement;
-    sched::deadline_order m_order;
+    sched::worth_order m_order;
     std::optional<sched::fleet_config> m_config;
     sched::config_document m_document;
     std::uint64_t m_generation = 0;
--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -74,6 +74,10 @@
     [[nodiscard]] std::int64_t longestChainMs() const;
     /// Work of one occurrence in core-milliseconds, by the estimates.
     [[nodiscard]] double estimatedWork() const;
+    /// The same for the tasks of all due occurrences that are not done.
+    [[nodiscard]] double remainingWork() const;
+    /// Longest chain over the steps that are not done, ms.
+    [[nodiscard]] std::int64_t remainingChainMs() const;
 };
 
 /// What one task of the step reserves; a step that fills reserves no processors.
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -161,6 +161,7 @@
     const placement_policy &m_placement;
     const waiting_order &m_order;
     fleet_config m_config;
+    std::map<std::string, double> m_meanWork; ///< of recent jobs by queue, core-milliseconds
     std::map<std::string, queue_config> m_formerQueues; ///< of queues that were removed
 
     std::unordered_map<std::string, std::unique_ptr<job>> m_jobs;
--- a/src/libsched/deadline_order.cpp
+++ b/src/libsched/deadline_order.cpp
@@ -9,10 +9,10 @@
 
 } // namespace
 
-double deadline_order::rank(const job &candidate, const queue_config &queue, instant now) const
+double deadline_order::rank(const job &candidate, const queue_view &queue, instant now) const
 {
     const std::chrono::duration<double> left = candidate.objective - now;
-    return queue.priority * secondsBetweenPriorities + left.count();
+    return queue.config->priority * secondsBetweenPriorities + left.count();
 }
 
 } // namespace plantainpitch::sched
--- a/src/libsched/job.cpp
+++ b/src/libsched/job.cpp
@@ -4,6 +4,19 @@
 
 namespace plantainpitch::sched {
 
+namespace {
+
+/// What is left on average of a task that runs.
+constexpr double activeShare = 0.5;
+
+/// Core-milliseconds of one task; an accelerator counts as eight cores.
+double taskWork(const step_spec &step)
+{
+    return (step.cpu / 1000.0 + 8.0 * step.accelerators) * step.estimateMs;
+}
+
+} // namespace
+
 job_state job::state() const
 {
     switch (outcome) {
@@ -45,13 +58,39 @@
 double job::estimatedWork() const
 {
     double work = 0;
-    for (const auto &step : request.spec->steps) {
-        const double cores = step->cpu / 1000.0 + 8.0 * step->accelerators;
-        work += cores * step->count * step->estimateMs;
+    for (const auto &step : request.spec->steps)
+        work += step->count * taskWork(*step);
+    return work;
+}
+
+double job::remainingWork() const
+{
+    double work = 0;
+    for (const occurrence &within : occurrences) {
+        for (std::uint32_t step = 0; step < within.steps.size(); ++step) {
+            const step_run &runs = within.steps[step];
+            work += (runs.waiting + activeShare * runs.active) * taskWork(stepSpec(step));
+        }
     }
     return work;
 }
 
+std::int64_t job::remainingChainMs() const
+{
+    std::int64_t longest = 0;
+    for (const occurrence &within : occurrences) {
+        std::vector<std::int64_t> chain(within.steps.size());
+        for (std::uint32_t step = 0; step < within.steps.size(); ++step) {
+            for (const std::uint32_t earlier : stepSpec(step).dependsOn)
+                chain[step] = std::max(chain[step], chain[earlier]);
+            if (within.steps[step].done < within.steps[step].tasks.size())
+                chain[step] += stepSpec(step).estimateMs;
+            longest = std::max(longest, chain[step]);
+        }
+    }
+    return longest;
+}
+
 resources reservation(const step_spec &step)
 {
     return { .cpu = step.fills ? 0 : static_cast<std::int64_t>(step.cpu),
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -9,6 +9,9 @@
 /// A job of which nobody knows the queue yet is tried again by the client after that time.
 constexpr std::uint32_t notReadyRetryMs = 300;
 
+/// Weight of the newest job in the mean of its queue.
+constexpr double meanWeight = 0.05;
+
 /// Tasks, processors and estimate of each step, for log lines.
 std::string describeSteps(const job_spec &spec)
 {
@@ -53,6 +56,8 @@
                 + std::chrono::milliseconds(static_cast<std::int64_t>(chain)
                                             + queue->targetLatencyMs);
     }
+    double &mean = m_meanWork[target.request.queue];
+    mean = mean > 0 ? mean + meanWeight * (target.estimatedWork() - mean) : target.estimatedWork();
     target.submissionChanged = true;
     m_changed.push_back(&target);
     m_jobs[target.request.id] = std::move(added);
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -334,7 +334,8 @@
                     return false;
                 });
         if (queue && hasWaiting)
-            waiting.push_back({ m_order.rank(*target, *queue, now), target, queue });
+            waiting.push_back({ m_order.rank(*target, { queue, m_meanWork[queue->name] }, now),
+                                target, queue });
     }
     std::sort(waiting.begin(), waiting.end(),
               [](const ranked &a, const ranked &b) { return a.rank < b.rank; });
