--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -13,6 +13,11 @@
 /// A serving task on a VM without others would make that VM useless to filling ones.
 constexpr double newServingVmPenalty = 2.0;
 
+/// Filling tasks beside serving ones get at most this share of a VM, and only if no other VM has
+/// room: some of their images hardly disturb, and the others are paced down.
+constexpr double fillingBesideServing = 0.25;
+constexpr double besideServingPenalty = 2.0;
+
 double reservedShare(const worker &candidate)
 {
     const auto capacity = std::max<std::int64_t>(candidate.capacity.cpu, 1);
@@ -28,7 +33,8 @@
 double cost(const worker &candidate, const step_spec &step)
 {
     if (step.fills)
-        return reservedShare(candidate) + fillingShare(candidate);
+        return reservedShare(candidate) + fillingShare(candidate)
+                + (candidate.serving > 0 ? besideServingPenalty : 0);
     if (step.targetMs == 0) // takes processors that no filling task could use
         return candidate.serving > 0 ? reservedShare(candidate)
                                      : 1 + reservedShare(candidate) + fillingShare(candidate);
@@ -41,9 +47,13 @@
 
 bool isolating_placement::admits(const worker &candidate, const step_spec &step) const
 {
-    return !step.fills
-            || (candidate.serving == 0
-                && candidate.leftOverCpu() >= static_cast<std::int64_t>(step.cpu));
+    if (!step.fills)
+        return true;
+    const auto cpu = static_cast<std::int64_t>(step.cpu);
+    const double most = fillingBesideServing * static_cast<double>(candidate.capacity.cpu);
+    if (candidate.serving > 0 && static_cast<double>(candidate.fillingCpu + cpu) > most)
+        return false;
+    return candidate.leftOverCpu() >= cpu;
 }
 
 worker *isolating_placement::choose(const std::vector<worker *> &candidates,
