Read a worker's clock as of the arrival of its answer; test the scheduler with a model of the fleet

Cause: the agent dated the clock in an answer to the sending of the call, but a hold may wait two seconds before the worker reads its clock, so leases ended up to that much after the grant. Found by tasksOfACutOffVmMoveOnlyAfterItsLeasesHaveEnded, which failed first with tasks in two places.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -93,7 +93,7 @@
     void report(instant now);
     [[nodiscard]] std::int64_t leaseUntil(instant now);
     [[nodiscard]] std::uint32_t holdWaitMs() const;
-    void takeClock(std::int64_t clockMs, instant asked);
+    void takeClock(std::int64_t clockMs, instant now);
     worker_call call(worker_call_kind kind) const;
     void log(log_level level, const char *event,
              std::vector<std::pair<std::string, std::string>> fields);
@@ -126,7 +126,6 @@
 
     std::uint64_t m_holdNumber = 0;
     bool m_holdOnItsWay = false;
-    instant m_holdSent{};
     instant m_nextHold{};
     std::uint32_t m_failedHolds = 0;
     std::uint32_t m_notRunning = 0;
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -213,13 +213,13 @@
         callStop(key, state, now);
 }
 
-void agent::takeClock(std::int64_t clockMs, instant asked)
+void agent::takeClock(std::int64_t clockMs, instant now)
 {
     if (clockMs <= 0)
         return;
-    // The worker read its clock after the call was sent, so the true value is not lower.
+    // The worker read its clock before the answer arrived, so its clock is not behind this.
     m_workerClockMs = clockMs;
-    m_workerClockAt = std::max(asked, m_workerClockAt);
+    m_workerClockAt = now;
 }
 
 std::int64_t agent::leaseUntil(instant now)
@@ -256,7 +256,6 @@
     look.waitMs = holdWaitMs();
     look.leaseUntilMs = leaseUntil(now);
     m_holdOnItsWay = true;
-    m_holdSent = now;
     m_calls.push_back(std::move(look));
 }
 
@@ -319,7 +318,7 @@
         m_nextHold = now + holdRetryInterval;
         return;
     }
-    takeClock(reply.clockMs, m_holdSent);
+    takeClock(reply.clockMs, now);
     m_failedHolds = 0;
     m_notRunning = 0;
     if (!m_responsive || m_lapsed) {
--- /dev/null
+++ b/src/libsched/fake_fleet_worker.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "plantainpitch/sched/run_outcome.h"
+#include "plantainpitch/sched/worker_call.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace plantainpitch::test {
+
+/// A worker for tests of agents and schedulers: runs whatever it is told to, under leases.
+struct fake_fleet_worker
+{
+    struct running_task
+    {
+        std::uint32_t run = 0;
+        std::int64_t leftMs = 0;
+        std::int64_t doneMs = 0;
+        bool stopping = false;
+        std::int64_t stopAtMs = 0;
+    };
+
+    sched::worker_info info;
+    bool up = true;
+    bool failsAll = false;
+    std::int64_t clockMs = 1'000;
+    std::int64_t leaseUntilMs = 0;
+    std::uint64_t fence = 0;
+    std::uint64_t lastEnd = 0;
+    std::map<std::string, running_task> running;
+    std::map<std::string, std::uint32_t> highestStopped; ///< run by task
+    std::vector<sched::run_end> ended;
+
+    static constexpr std::int64_t stopMs = 100;
+
+    void end(const std::string &task, sched::run_outcome outcome)
+    {
+        sched::run_end entry;
+        entry.number = ++lastEnd;
+        entry.task = task;
+        entry.run = running[task].run;
+        entry.outcome = static_cast<std::uint8_t>(outcome);
+        entry.checkpoint = std::to_string(running[task].doneMs);
+        highestStopped[task] = std::max(highestStopped[task], entry.run);
+        ended.push_back(entry);
+        running.erase(task);
+    }
+
+    void advance(std::int64_t ms)
+    {
+        clockMs += ms;
+        if (!up)
+            return;
+        std::vector<std::pair<std::string, sched::run_outcome>> ends;
+        for (auto &[task, state] : running) {
+            state.leftMs -= ms;
+            state.doneMs += ms;
+            if (clockMs >= leaseUntilMs)
+                ends.emplace_back(task, sched::run_outcome::lapsed);
+            else if (state.stopping && clockMs >= state.stopAtMs)
+                ends.emplace_back(task, sched::run_outcome::stopped);
+            else if (state.leftMs <= 0)
+                ends.emplace_back(task, failsAll ? sched::run_outcome::failed
+                                                 : sched::run_outcome::done);
+        }
+        for (const auto &[task, outcome] : ends)
+            end(task, outcome);
+    }
+
+    /// A new incarnation, which knows nothing of the last one.
+    void restart()
+    {
+        up = true;
+        info.startMs += 1'000;
+        clockMs = 10;
+        leaseUntilMs = 0;
+        fence = 0;
+        lastEnd = 0;
+        running.clear();
+        highestStopped.clear();
+        ended.clear();
+    }
+
+    sched::worker_reply handle(const sched::worker_call &call, std::int64_t taskMs)
+    {
+        sched::worker_reply reply;
+        reply.clockMs = clockMs;
+        reply.kind = sched::worker_reply_kind::refused;
+        if (call.workerId != info.id) {
+            reply.reason = "worker_gone";
+            return reply;
+        }
+        if (call.fence < fence) {
+            reply.reason = "fence";
+            return reply;
+        }
+        fence = call.fence;
+        reply.kind = sched::worker_reply_kind::accepted;
+        if (call.kind != sched::worker_call_kind::stop)
+            leaseUntilMs = std::max(leaseUntilMs, call.leaseUntilMs);
+        if (call.kind == sched::worker_call_kind::start)
+            start(call, taskMs, reply);
+        if (call.kind == sched::worker_call_kind::stop)
+            stop(call);
+        if (call.kind == sched::worker_call_kind::hold)
+            list(call, reply);
+        return reply;
+    }
+
+private:
+    void start(const sched::worker_call &call, std::int64_t taskMs, sched::worker_reply &reply)
+    {
+        const bool there = running.count(call.task) > 0 && running[call.task].run == call.run;
+        if (there)
+            return;
+        if (running.count(call.task) > 0 || call.run <= highestStopped[call.task]) {
+            reply.kind = sched::worker_reply_kind::refused;
+            reply.reason = "old";
+        } else if (call.leaseUntilMs <= clockMs) {
+            reply.kind = sched::worker_reply_kind::refused;
+            reply.reason = "late";
+        } else {
+            running[call.task] = { .run = call.run, .leftMs = taskMs };
+        }
+    }
+
+    void stop(const sched::worker_call &call)
+    {
+        highestStopped[call.task] = std::max(highestStopped[call.task], call.run);
+        const auto found = running.find(call.task);
+        if (found == running.end() || found->second.run != call.run || found->second.stopping)
+            return;
+        found->second.stopping = true;
+        found->second.stopAtMs = clockMs + stopMs;
+    }
+
+    void list(const sched::worker_call &call, sched::worker_reply &reply)
+    {
+        std::erase_if(ended, [&call](const sched::run_end &each) {
+            return each.number <= call.endsNoted;
+        });
+        reply.listing.emplace();
+        reply.listing->startMs = info.startMs;
+        reply.listing->ended = ended;
+        for (const auto &[task, state] : running) {
+            sched::run_status status;
+            status.task = task;
+            status.run = state.run;
+            status.percent = 100;
+            reply.listing->running.push_back(status);
+        }
+    }
+};
+
+} // namespace plantainpitch::test
--- /dev/null
+++ b/src/libsched/fleet_model.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include "fake_fleet_worker.h"
+#include "plantainpitch/sched/agent.h"
+#include "plantainpitch/sched/scheduler.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace plantainpitch::test {
+
+/// Whole fleet in virtual time: the owner of a partition, agents, workers and the store, with
+/// faults at the interfaces. Checks after each step that no VM is given more than it has, that no
+/// task runs twice, and that none is started after its end was noted.
+class fleet_model
+{
+public:
+    struct node
+    {
+        std::string name;
+        std::unique_ptr<sched::agent> agent;
+        fake_fleet_worker worker;
+        bool linked = false; ///< connected to the owner
+        bool cut = false; ///< from the owner
+        std::deque<sched::message> toOwner;
+        std::deque<sched::message> toAgent;
+        struct waiting_call
+        {
+            sched::worker_call call;
+            std::int64_t dueMs = 0; ///< executed then
+            std::int64_t answerMs = 0; ///< answered then; with a hold, earlier at an end
+            bool answered = true; ///< otherwise the answer is lost
+        };
+        std::vector<waiting_call> calls;
+        std::set<std::string> running; ///< as last checked, with run numbers
+    };
+
+    struct stored_batch
+    {
+        std::vector<sched::stored_record> records;
+        std::int64_t doneMs = 0;
+    };
+
+    static constexpr std::int64_t stepMs = 10;
+    static constexpr std::int64_t taskMs = 700;
+
+    explicit fleet_model(std::uint32_t nodes, std::uint64_t seed = 1)
+        : random(seed)
+    {
+        config.version = 1;
+        config.queues["batch"] = { .name = "batch",
+                                   .service = "pool",
+                                   .priority = 1,
+                                   .maxAttempts = 3,
+                                   .stretch = 2,
+                                   .targetLatencyMs = 1'000 };
+        for (std::uint32_t i = 0; i < nodes; ++i)
+            addNode("node-" + std::to_string(i));
+        newOwner();
+    }
+
+    [[nodiscard]] instant now() const { return instant(std::chrono::milliseconds(timeMs)); }
+
+    /// The owner is replaced by one that knows only what is stored.
+    void newOwner()
+    {
+        ++epoch;
+        for (node &each : nodes)
+            closeLink(each);
+        owner.emplace(sched::scheduler_options{ .epoch = epoch }, placement, order);
+        for (const auto &[key, value] : stored)
+            owner->load({ key, value });
+        owner->setConfig(config);
+        owner->finishLoading(now(), wallMs());
+        owner->setAgents(names());
+        batch.reset();
+        answers.clear();
+    }
+
+    /// The agent's process dies and a new one takes its place.
+    void restartAgent(node &where)
+    {
+        closeLink(where);
+        where.calls.clear();
+        where.agent = std::make_unique<sched::agent>(sched::agent_options{ .node = where.name });
+    }
+
+    void crashWorker(node &where)
+    {
+        where.worker.up = false;
+        where.worker.running.clear();
+    }
+
+    sched::client_call submission(const std::string &id, std::uint32_t tasks,
+                                  std::uint32_t cpu = 1'000, std::uint32_t steps = 1)
+    {
+        sched::client_call call;
+        call.kind = static_cast<std::uint8_t>(sched::call_kind::submit);
+        call.job = id;
+        call.queue = "batch";
+        call.submitted = std::make_unique<sched::submission>();
+        call.submitted->id = id;
+        call.submitted->queue = "batch";
+        call.submitted->spec = std::make_unique<sched::job_spec>();
+        for (std::uint32_t i = 0; i < steps; ++i) {
+            auto step = std::make_unique<sched::step_spec>();
+            step->count = tasks;
+            step->cpu = cpu;
+            step->estimateMs = taskMs;
+            if (i > 0)
+                step->dependsOn = { i - 1 };
+            call.submitted->spec->steps.push_back(std::move(step));
+        }
+        return call;
+    }
+
+    void send(const sched::client_call &call)
+    {
+        owner->onCall("gateway", call, now(), wallMs());
+    }
+
+    [[nodiscard]] std::optional<sched::job_state> shown(const std::string &id) const
+    {
+        const sched::job *found = owner->findJob(id);
+        if (!found || !found->stored)
+            return std::nullopt;
+        return found->shown;
+    }
+
+    void run(std::int64_t ms)
+    {
+        for (const std::int64_t end = timeMs + ms; timeMs < end;)
+            step();
+    }
+
+    /// Runs until the job is shown so; returns false after \a ms.
+    bool runUntil(const std::string &id, sched::job_state state, std::int64_t ms)
+    {
+        for (const std::int64_t end = timeMs + ms; timeMs < end;) {
+            step();
+            if (shown(id) == state)
+                return true;
+        }
+        return false;
+    }
+
+    void step();
+
+    std::int64_t timeMs = 1'000'000;
+    std::mt19937_64 random;
+    sched::fleet_config config;
+    sched::isolating_placement placement;
+    sched::worth_order order;
+    std::optional<sched::scheduler> owner;
+    std::uint64_t epoch = 0;
+    std::deque<node> nodes;
+    bool storeUp = true;
+    std::map<std::string, std::string> stored;
+    double lostAnswers = 0; ///< share of the calls to workers that are carried out 2 to 12 s late
+    std::vector<std::string> violations;
+    std::map<std::uint64_t, sched::client_answer> answers;
+    std::optional<stored_batch> batch; ///< on its way to the store
+    std::set<std::string> starts; ///< "task run" of all runs that were seen
+
+private:
+    void addNode(const std::string &name)
+    {
+        node &added = nodes.emplace_back();
+        added.name = name;
+        added.agent = std::make_unique<sched::agent>(sched::agent_options{ .node = name });
+        added.worker.info.id = "worker-" + name;
+        added.worker.info.startMs = 1;
+        added.worker.info.service = "pool";
+        added.worker.info.cpu = 4'000;
+        added.worker.info.memoryMb = 16'000;
+        added.worker.info.labels = { "a", "rack-1" };
+        added.worker.info.ready = true;
+    }
+
+    [[nodiscard]] std::int64_t wallMs() const { return 1'700'000'000'000 + timeMs; }
+
+    std::set<std::string> names()
+    {
+        std::set<std::string> result;
+        for (const node &each : nodes)
+            result.insert(each.name);
+        return result;
+    }
+
+    void closeLink(node &where)
+    {
+        if (where.linked && owner)
+            owner->agentClosed(where.name, now());
+        if (where.linked)
+            where.agent->ownerClosed(now());
+        where.linked = false;
+        where.toOwner.clear();
+        where.toAgent.clear();
+    }
+
+    void openLink(node &where)
+    {
+        sched::owner_hello hello;
+        hello.epoch = epoch;
+        hello.node = "owner";
+        hello.termMs = 5'500;
+        if (!where.agent->ownerOpened(hello, now()))
+            return;
+        where.linked = true;
+        owner->agentOpened(where.name, now());
+    }
+
+    void stepNode(node &where);
+    void stepCalls(node &where);
+    void stepOwner();
+    void check();
+    void noteStart(const std::string &task, std::uint32_t run, const sched::job *known);
+};
+
+} // namespace plantainpitch::test
--- /dev/null
+++ b/src/libsched/fleet_model_test.cpp
@@ -0,0 +1,157 @@
+#include "fleet_model.h"
+
+#include "plantainpitch/sched/task_name.h"
+
+namespace plantainpitch::test {
+
+namespace {
+
+constexpr std::int64_t storeMs = 20;
+constexpr std::int64_t announceMs = 500;
+
+} // namespace
+
+void fleet_model::step()
+{
+    timeMs += stepMs;
+    for (node &each : nodes)
+        each.worker.advance(stepMs);
+    check();
+    stepOwner();
+    for (node &each : nodes) {
+        if (each.cut && each.linked)
+            closeLink(each);
+        else if (!each.cut && !each.linked)
+            openLink(each);
+        stepNode(each);
+    }
+}
+
+void fleet_model::stepOwner()
+{
+    if (batch && storeUp && timeMs >= batch->doneMs) {
+        for (const sched::stored_record &record : batch->records) {
+            if (record.value.empty())
+                stored.erase(record.key);
+            else
+                stored[record.key] = record.value;
+        }
+        batch.reset();
+        owner->commitDone(now());
+    }
+    owner->confirmOwnership(storeUp ? now() : instant{});
+    owner->tick(now(), wallMs());
+    if (auto records = owner->nextCommit(now(), wallMs()))
+        batch = { std::move(*records), timeMs + storeMs };
+    for (sched::outgoing_message &each : owner->takeMessages()) {
+        if (const auto *answer = each.content.content.Asclient_answer())
+            answers[answer->number] = *answer;
+        for (node &where : nodes) {
+            if (where.name == each.node && where.linked)
+                where.toAgent.push_back(std::move(each.content));
+        }
+    }
+    owner->takeLogLines();
+}
+
+void fleet_model::stepNode(node &where)
+{
+    std::deque<sched::message> fromOwner;
+    fromOwner.swap(where.toAgent);
+    for (const sched::message &content : fromOwner) {
+        if (const auto *orders = content.content.Asagent_orders())
+            where.agent->onOrders(*orders, now());
+    }
+    if (where.worker.up && timeMs % announceMs == 0)
+        where.agent->workerAnnounced(where.worker.info, where.worker.clockMs, now());
+    stepCalls(where);
+    where.agent->tick(now());
+    for (const sched::worker_call &call : where.agent->takeCalls()) {
+        node::waiting_call waiting{ call, timeMs, timeMs + call.waitMs, true };
+        const bool order = call.kind == sched::worker_call_kind::start
+                || call.kind == sched::worker_call_kind::stop;
+        if (order && std::uniform_real_distribution<>(0, 1)(random) < lostAnswers) {
+            waiting.dueMs += std::uniform_int_distribution<std::int64_t>(2'000, 12'000)(random);
+            waiting.answerMs = timeMs + 1'000;
+            waiting.answered = false;
+        }
+        where.calls.push_back(waiting);
+    }
+    for (sched::agent_report &report : where.agent->takeReports()) {
+        if (where.linked)
+            where.toOwner.push_back(sched::makeMessage(std::move(report)));
+    }
+    std::deque<sched::message> toOwner;
+    toOwner.swap(where.toOwner);
+    for (const sched::message &content : toOwner)
+        owner->onReport(where.name, *content.content.Asagent_report(), now());
+    where.agent->takeLogLines();
+}
+
+void fleet_model::stepCalls(node &where)
+{
+    std::vector<node::waiting_call> calls;
+    calls.swap(where.calls);
+    for (node::waiting_call &each : calls) {
+        if (!where.worker.up) {
+            sched::worker_reply down;
+            down.kind = sched::worker_reply_kind::not_running;
+            if (each.answered)
+                where.agent->onReply(each.call, down, now());
+            continue;
+        }
+        if (!each.answered && each.answerMs > 0 && timeMs >= each.answerMs) {
+            where.agent->onReply(each.call, {}, now()); // given up; it may still be carried out
+            each.answerMs = 0;
+        }
+        const bool early = each.call.kind == sched::worker_call_kind::hold
+                && !where.worker.ended.empty()
+                && where.worker.ended.back().number > each.call.endsNoted;
+        const std::int64_t due = each.answered && !early ? each.answerMs : each.dueMs;
+        if (timeMs < due) {
+            where.calls.push_back(each);
+            continue;
+        }
+        const auto reply = where.worker.handle(each.call, taskMs);
+        if (each.answered)
+            where.agent->onReply(each.call, reply, now());
+    }
+}
+
+void fleet_model::noteStart(const std::string &task, std::uint32_t run, const sched::job *known)
+{
+    if (!starts.insert(task + ' ' + std::to_string(run)).second)
+        return;
+    if (!known) {
+        violations.push_back(task + " was started without a job");
+        return;
+    }
+    const auto name = sched::task_name::parse(task);
+    const auto &item = known->occurrences[name->occurrence].steps[name->step].tasks[name->index];
+    if (item.phase == sched::task_phase::done)
+        violations.push_back(task + " was started after its end was noted");
+}
+
+void fleet_model::check()
+{
+    std::map<std::string, int> copies;
+    for (node &where : nodes) {
+        std::int64_t cpu = 0;
+        for (const auto &[task, state] : where.worker.running) {
+            ++copies[task];
+            const auto name = sched::task_name::parse(task);
+            const sched::job *known = owner->findJob(name->job);
+            noteStart(task, state.run, known);
+            if (known)
+                cpu += known->stepSpec(name->step).cpu;
+        }
+        if (cpu > where.worker.info.cpu)
+            violations.push_back(where.name + " was given more than it has");
+    }
+    for (const auto &[task, count] : copies) {
+        if (count > 1)
+            violations.push_back(task + " runs in " + std::to_string(count) + " places");
+    }
+}
+
+} // namespace plantainpitch::test
--- /dev/null
+++ b/src/libsched/scheduler_test.cpp
@@ -0,0 +1,290 @@
+#include "fleet_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+using sched::job_state;
+using test::fleet_model;
+
+namespace {
+
+/// Long enough for the leases of a lost worker to end and its tasks to run elsewhere.
+constexpr std::int64_t afterLeaseMs = 12'000;
+
+void requireSound(const fleet_model &model)
+{
+    for (const std::string &violation : model.violations)
+        BOOST_ERROR(violation);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(scheduler)
+
+BOOST_AUTO_TEST_CASE(stepsRunInOrderAndTheJobIsShownAsCompleted)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    model.send(model.submission("a", 4, 1'000, 2));
+    BOOST_TEST(model.runUntil("a", job_state::completed, 4'000));
+    BOOST_TEST(model.starts.size() == 8U);
+    requireSound(model);
+}
+
+BOOST_AUTO_TEST_CASE(aRepeatedSubmissionIsOneJob)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    model.send(model.submission("a", 2));
+    model.run(100);
+    model.send(model.submission("a", 2));
+    BOOST_TEST(model.runUntil("a", job_state::completed, 4'000));
+    model.send(model.submission("a", 2));
+    model.run(2'000);
+    BOOST_TEST(model.starts.size() == 2U);
+    requireSound(model);
+}
+
+BOOST_AUTO_TEST_CASE(aSubmissionIsAnsweredOnlyWhenItIsStored)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    model.storeUp = false;
+    auto call = model.submission("a", 1);
+    call.number = 7;
+    model.send(call);
+    model.run(1'000);
+    BOOST_TEST(model.answers.count(7) == 0U);
+    BOOST_TEST(model.starts.empty());
+    model.storeUp = true;
+    model.run(200);
+    BOOST_TEST(model.answers.count(7) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aTaskThatFailsEverywhereFailsItsJobAfterMaxAttempts)
+{
+    fleet_model model(6);
+    for (auto &each : model.nodes)
+        each.worker.failsAll = true;
+    model.run(1'000);
+    model.send(model.submission("a", 1));
+    BOOST_TEST(model.runUntil("a", job_state::failed, 10'000));
+    BOOST_TEST(model.starts.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(aCancelledJobIsStoppedAndStartsNothing)
+{
+    fleet_model model(1);
+    model.run(1'000);
+    model.send(model.submission("a", 20));
+    model.run(300);
+    sched::client_call cancel;
+    cancel.kind = static_cast<std::uint8_t>(sched::call_kind::cancel);
+    cancel.job = "a";
+    model.send(cancel);
+    model.run(400);
+    BOOST_TEST(model.nodes[0].worker.running.empty());
+    const std::size_t before = model.starts.size();
+    model.run(3'000);
+    BOOST_TEST(model.starts.size() == before);
+    BOOST_TEST((model.shown("a") == job_state::cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(aNewOwnerAdoptsWhatRuns)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    model.send(model.submission("a", 6));
+    model.run(300);
+    BOOST_TEST(model.starts.size() == 6U);
+    model.newOwner();
+    BOOST_TEST(model.runUntil("a", job_state::completed, 3'000));
+    BOOST_TEST(model.starts.size() == 6U);
+    requireSound(model);
+}
+
+// Each owner writes first, so that the end of the partition, from which epochs are made, moves
+// between two owners. Without it a restarted owner began its epoch a second time.
+BOOST_AUTO_TEST_CASE(anOwnerStoresItsEpochBeforeAnythingElse)
+{
+    fleet_model model(1);
+    const auto records = model.owner->nextCommit(model.now(), 0);
+    BOOST_REQUIRE(records.has_value());
+    BOOST_TEST(records->at(0).key == "owner");
+    BOOST_TEST(records->at(0).value == "1");
+}
+
+BOOST_AUTO_TEST_CASE(tasksOfACutOffVmMoveOnlyAfterItsLeasesHaveEnded)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    model.send(model.submission("a", 12));
+    model.run(200);
+    model.nodes[0].cut = true;
+    for (auto &[task, state] : model.nodes[0].worker.running)
+        state.leftMs = 60'000;
+    model.run(4'000);
+    BOOST_TEST(!model.nodes[0].worker.running.empty());
+    BOOST_TEST(model.runUntil("a", job_state::completed, afterLeaseMs));
+    requireSound(model);
+}
+
+BOOST_AUTO_TEST_CASE(tasksOfACrashedWorkerStartElsewhereAtOnce)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    model.send(model.submission("a", 9));
+    model.run(300);
+    model.crashWorker(model.nodes[1]);
+    BOOST_TEST(model.runUntil("a", job_state::completed, 3'000));
+    requireSound(model);
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedAgentAdoptsWhatItsWorkerRuns)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    model.send(model.submission("a", 4));
+    model.run(300);
+    model.restartAgent(model.nodes[0]);
+    BOOST_TEST(model.runUntil("a", job_state::completed, 5'000));
+    BOOST_TEST(model.starts.size() == 4U);
+    requireSound(model);
+}
+
+// Filling steps reserve no processors. Once every VM had a serving task, isolation left no VM for
+// them, and they stood still with most of the room free.
+BOOST_AUTO_TEST_CASE(fillingTasksRunAlthoughEveryVmServes)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    auto serving = model.submission("s", 2, 500);
+    serving.submitted->spec->steps[0]->longRunning = true;
+    serving.submitted->spec->steps[0]->targetMs = 50;
+    serving.submitted->spec->steps[0]->maxPerVm = 1;
+    model.send(serving);
+    model.run(500);
+    auto filling = model.submission("f", 4, 1'000);
+    filling.submitted->spec->steps[0]->fills = true;
+    model.send(filling);
+    BOOST_TEST(model.runUntil("f", job_state::completed, 6'000));
+}
+
+BOOST_AUTO_TEST_CASE(fillingTasksStayAwayFromServingOnesWhileThereIsRoom)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    auto serving = model.submission("s", 3, 1'000);
+    serving.submitted->spec->steps[0]->longRunning = true;
+    serving.submitted->spec->steps[0]->targetMs = 50;
+    model.send(serving);
+    model.run(500);
+    auto filling = model.submission("f", 8, 1'000);
+    filling.submitted->spec->steps[0]->fills = true;
+    model.send(filling);
+    model.run(300);
+    std::size_t servingVms = 0;
+    for (const auto &[key, where] : model.owner->workers()) {
+        if (where->serving == 0)
+            continue;
+        ++servingVms;
+        BOOST_TEST(where->fillingCpu == 0);
+    }
+    BOOST_TEST(servingVms == 1U);
+}
+
+// A burst of more work than room: ordered by deadline, the room goes to jobs that all end late.
+BOOST_AUTO_TEST_CASE(inABurstWorthOrderServesMoreJobsInTimeThanDeadlineOrder)
+{
+    const auto servedInTime = [](const sched::waiting_order &order) {
+        fleet_model model(2);
+        sched::deadline_order unused;
+        model.owner.emplace(sched::scheduler_options{ .epoch = ++model.epoch }, model.placement,
+                            order);
+        model.owner->setConfig(model.config);
+        model.owner->finishLoading(model.now(), 0);
+        model.run(1'000);
+        // Objective: 2 x 700 ms + 1 s. One in three jobs is six times as large.
+        for (int i = 0; i < 30; ++i) {
+            model.send(model.submission("job-" + std::to_string(i), i % 3 == 0 ? 12 : 2));
+            model.run(50);
+        }
+        int served = 0;
+        const instant begin = model.now();
+        std::map<std::string, bool> done;
+        while (model.now() - begin < std::chrono::seconds(20)) {
+            model.step();
+            for (int i = 0; i < 30; ++i) {
+                const std::string id = "job-" + std::to_string(i);
+                if (done[id] || model.shown(id) != job_state::completed)
+                    continue;
+                done[id] = true;
+                served += model.now() <= model.owner->findJob(id)->objective ? 1 : 0;
+            }
+        }
+        return served;
+    };
+    const sched::deadline_order baseline;
+    const sched::worth_order order;
+    BOOST_TEST(servedInTime(order) > servedInTime(baseline));
+}
+
+BOOST_AUTO_TEST_CASE(randomFaultsNeverLoseDoubleOrOverload)
+{
+    for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+        fleet_model model(4, seed);
+        model.lostAnswers = 0.1;
+        model.run(1'000);
+        std::vector<std::string> jobs;
+        for (int round = 0; round < 40; ++round) {
+            jobs.push_back("job-" + std::to_string(round));
+            model.send(model.submission(jobs.back(), 1 + model.random() % 6, 1'000,
+                                        1 + model.random() % 2));
+            auto &victim = model.nodes[model.random() % model.nodes.size()];
+            switch (model.random() % 12) {
+            case 0:
+                model.newOwner();
+                break;
+            case 1:
+                model.restartAgent(victim);
+                break;
+            case 2:
+                model.crashWorker(victim);
+                break;
+            case 3:
+                if (!victim.worker.up)
+                    victim.worker.restart();
+                break;
+            case 4:
+                victim.cut = !victim.cut;
+                break;
+            case 5:
+                model.storeUp = !model.storeUp;
+                break;
+            default:
+                break;
+            }
+            model.run(300 + static_cast<std::int64_t>(model.random() % 1'500));
+        }
+        model.storeUp = true;
+        model.lostAnswers = 0;
+        for (auto &each : model.nodes) {
+            each.cut = false;
+            if (!each.worker.up)
+                each.worker.restart();
+        }
+        // A client that had no answer submits again.
+        model.run(2'000);
+        for (const std::string &id : jobs) {
+            if (!model.shown(id))
+                model.send(model.submission(id, 1));
+        }
+        model.run(60'000);
+        for (const std::string &id : jobs)
+            BOOST_TEST((model.shown(id) == job_state::completed), "seed " << seed << ": " << id);
+        for (const std::string &violation : model.violations)
+            BOOST_ERROR("seed " << seed << ": " << violation);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
