Learn which images disturb, and place filling tasks by it

The library's learned_interference now learns from the agents' reports, by image. Serving tasks reserve for their peaks; 30 % of it counts as left over.

--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainpitch/fleet/member_dialer.h"
+#include "plantainpitch/policy/learned_interference.h"
 #include "plantainpitch/runtime/clock.h"
 #include "plantainpitch/runtime/logging.h"
 #include "plantainpitch/sched/partition_store.h"
@@ -61,7 +62,8 @@
     const runtime::clock &m_time;
     runtime::logging &m_log;
     const owner_process_options m_options;
-    sched::isolating_placement m_placement;
+    learned_interference m_interference;
+    sched::isolating_placement m_placement{ m_interference };
     sched::worth_order m_order;
     std::optional<sched::fleet_config> m_config;
     sched::config_document m_document;
--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -20,7 +20,7 @@
     duration term = std::chrono::milliseconds(5'500); ///< of a grant; the owner may name another
     double clockDrift = 0.02;
     duration reportInterval = std::chrono::milliseconds(500);
-    duration completeReportInterval = std::chrono::seconds(2);
+    duration completeReportInterval = std::chrono::seconds(1);
     duration stopRetryInterval = std::chrono::milliseconds(400);
     /// Without a valid lease of at least this much, nothing is started.
     duration shortestLease = std::chrono::milliseconds(800);
--- a/src/include/plantainpitch/sched/pacing.h
+++ b/src/include/plantainpitch/sched/pacing.h
@@ -25,6 +25,9 @@
     /// One measurement of all tasks on the VM. Returns the new percentages of those that change.
     std::map<std::string, std::uint32_t> measure(const std::vector<paced_task> &tasks);
 
+    /// Share at which filling tasks work.
+    [[nodiscard]] std::uint32_t percent() const { return m_percent; }
+
 private:
     std::uint32_t m_percent = 100;
     std::map<std::string, std::uint32_t> m_applied;
--- a/src/include/plantainpitch/sched/placement_policy.h
+++ b/src/include/plantainpitch/sched/placement_policy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plantainpitch/policy/interference_model.h"
 #include "plantainpitch/sched/job.h"
 #include "plantainpitch/sched/worker.h"
 
@@ -36,16 +37,29 @@
                                  const task &previous) const override;
 };
 
-/// Keeps tasks that fill away from VMs with tasks that serve, and gives them no more processors than
-/// are left over. Serving tasks share as few VMs as their steps allow. Answers a load in which
-/// filling work would use every VM: it disturbs serving tasks everywhere, is paced down everywhere,
-/// and neither is done in time.
+/// Gives tasks that fill no more processors than are left over, and puts them beside serving tasks
+/// only where those are expected to stay within their targets; images that hardly disturb go there
+/// first. Serving tasks share as few VMs as their steps allow. Answers a load in which filling work
+/// would use every VM: it disturbs serving tasks everywhere, is paced down everywhere, and neither
+/// is done in time.
 class isolating_placement : public placement_policy
 {
 public:
+    /// \a model knows serving and filling tasks by their images; it must outlive this object.
+    explicit isolating_placement(const interference_model &model)
+        : m_model(model)
+    {}
+
     [[nodiscard]] bool admits(const worker &candidate, const step_spec &step) const override;
     [[nodiscard]] worker *choose(const std::vector<worker *> &candidates, const step_spec &step,
                                  const task &previous) const override;
+
+private:
+    [[nodiscard]] double disturbance(const worker &where, const std::string &image) const;
+    [[nodiscard]] double latencyWith(const worker &where, const std::string &image) const;
+    [[nodiscard]] double cost(const worker &candidate, const step_spec &step) const;
+
+    const interference_model &m_model;
 };
 
 } // namespace plantainpitch::sched
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -54,9 +54,9 @@
 class scheduler
 {
 public:
-    /// \a placement and \a order must outlive the scheduler.
+    /// The policies must outlive the scheduler. \a interference learns from the agents' reports.
     scheduler(const scheduler_options &options, const placement_policy &placement,
-              const waiting_order &order);
+              const waiting_order &order, interference_model &interference);
 
     /// Loads a record that an earlier owner stored. Throws error(protocol_error).
     void load(const stored_record &record);
@@ -149,17 +149,20 @@
     // scheduler_workers.cpp
     worker &workerAt(const std::string &node, const worker_info &info, instant now);
     void reconcile(worker &where, const agent_report &report);
+    void learnInterference(const worker &where, const agent_report &report);
     void describe(worker &where, const std::vector<std::string> &names);
     void grant(const std::string &node, worker *where, const agent_report &report, instant now);
     [[nodiscard]] bool hasMajority() const;
     void dropLostWorkers(instant now);
 
+    void logState();
     void log(log_level level, const char *event,
              std::vector<std::pair<std::string, std::string>> fields);
 
     const scheduler_options m_options;
     const placement_policy &m_placement;
     const waiting_order &m_order;
+    interference_model &m_interference;
     fleet_config m_config;
     std::map<std::string, double> m_meanWork; ///< of recent jobs by queue, core-milliseconds
     std::map<std::string, queue_config> m_formerQueues; ///< of queues that were removed
@@ -182,6 +185,7 @@
     bool m_roomChanged = false; ///< a pass may start something
     bool m_commitInFlight = false;
     instant m_lastPass{};
+    instant m_lastStateLog{};
 
     staged_effects m_staged; ///< go with the next batch
     staged_effects m_inFlight;
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -26,6 +26,7 @@
     resources amount;
     std::int64_t fillingCpu = 0; ///< left-over processors that it would use, thousandths of a core
     bool serves = false; ///< has a latency target
+    std::string image;
     bool stopOrdered = false;
     /// Number of the orders that carry the start; 0: the agent has had its chance to see them.
     std::uint64_t orderNumber = 0;
@@ -44,6 +45,9 @@
     resources used;
     std::int64_t fillingCpu = 0; ///< demand of runs that use left-over processors
     std::uint32_t serving = 0; ///< runs that have a latency target
+    std::int64_t servingCpu = 0; ///< what they reserve
+    std::map<std::string, std::uint32_t> servingImages; ///< runs by image
+    std::map<std::string, std::uint32_t> fillingImages; ///< runs by image
     bool ready = false; ///< not draining
     bool responsive = false;
     bool connected = false; ///< the agent is connected and its runs are known
@@ -57,11 +61,9 @@
     std::uint32_t avoidances = 0;
 
     [[nodiscard]] resources room() const { return capacity - used; }
-    /// Processors that neither reservations nor filling runs ask for, thousandths of a core.
-    [[nodiscard]] std::int64_t leftOverCpu() const
-    {
-        return capacity.cpu - used.cpu - fillingCpu;
-    }
+    /// Processors that neither reservations nor filling runs are expected to use, thousandths of a
+    /// core. Serving tasks reserve for their peak.
+    [[nodiscard]] std::int64_t leftOverCpu() const;
 
     /// Reserves resources for a run; replaces an earlier run of the same task.
     void hold(const std::string &name, const allocation &amount);
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -123,7 +123,7 @@
 {
     sched::scheduler_options options;
     options.epoch = current->epoch;
-    current->scheduler.emplace(options, m_placement, m_order);
+    current->scheduler.emplace(options, m_placement, m_order, m_interference);
     for (const sched::stored_record &record : records) {
         try {
             current->scheduler->load(record);
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -444,6 +444,7 @@
     content.ordersSeen = m_ordersSeen;
     content.responsive = m_responsive;
     content.lapsed = m_lapsed;
+    content.fillingPercent = m_pacing.percent();
     if (m_worker && !m_workerReported) {
         content.worker = std::make_unique<worker_info>(*m_worker);
         m_workerReported = true;
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -13,10 +13,11 @@
 /// A serving task on a VM without others would make that VM useless to filling ones.
 constexpr double newServingVmPenalty = 2.0;
 
-/// Filling tasks beside serving ones get at most this share of a VM, and only if no other VM has
-/// room: some of their images hardly disturb, and the others are paced down.
-constexpr double fillingBesideServing = 0.25;
 constexpr double besideServingPenalty = 2.0;
+/// Share of a latency target that serving tasks may be expected to reach; the rest is for waves.
+constexpr double latencyGoal = 0.75;
+/// An image that adds less than this share of a target does not count as disturbing.
+constexpr double harmless = 0.03;
 
 double reservedShare(const worker &candidate)
 {
@@ -30,11 +31,38 @@
     return static_cast<double>(candidate.fillingCpu) / static_cast<double>(capacity);
 }
 
-double cost(const worker &candidate, const step_spec &step)
+} // namespace
+
+/// What one more task of the image adds to the worst latency there, in shares of the target.
+double isolating_placement::disturbance(const worker &where, const std::string &image) const
+{
+    double worst = 0;
+    for (const auto &[serving, count] : where.servingImages)
+        worst = std::max(worst, m_model.added(serving, 0, { { image, 1 } }));
+    return worst;
+}
+
+/// The worst expected latency of the serving tasks there with one more task of the image.
+double isolating_placement::latencyWith(const worker &where, const std::string &image) const
 {
-    if (step.fills)
-        return reservedShare(candidate) + fillingShare(candidate)
-                + (candidate.serving > 0 ? besideServingPenalty : 0);
+    auto filling = where.fillingImages;
+    ++filling[image];
+    double worst = 0;
+    for (const auto &[serving, count] : where.servingImages)
+        worst = std::max(worst, m_model.alone(serving, 0) + m_model.added(serving, 0, filling));
+    return worst;
+}
+
+double isolating_placement::cost(const worker &candidate, const step_spec &step) const
+{
+    if (step.fills && candidate.serving == 0)
+        return reservedShare(candidate) + fillingShare(candidate);
+    if (step.fills) {
+        const double disturbs = disturbance(candidate, step.image);
+        // VMs without serving tasks are left to images that disturb.
+        return disturbs < harmless ? fillingShare(candidate) - 1
+                                   : besideServingPenalty + latencyWith(candidate, step.image);
+    }
     if (step.targetMs == 0) // takes processors that no filling task could use
         return candidate.serving > 0 ? reservedShare(candidate)
                                      : 1 + reservedShare(candidate) + fillingShare(candidate);
@@ -43,17 +71,13 @@
                                  : newServingVmPenalty + fillingShare(candidate);
 }
 
-} // namespace
-
 bool isolating_placement::admits(const worker &candidate, const step_spec &step) const
 {
     if (!step.fills)
         return true;
-    const auto cpu = static_cast<std::int64_t>(step.cpu);
-    const double most = fillingBesideServing * static_cast<double>(candidate.capacity.cpu);
-    if (candidate.serving > 0 && static_cast<double>(candidate.fillingCpu + cpu) > most)
+    if (candidate.leftOverCpu() < static_cast<std::int64_t>(step.cpu))
         return false;
-    return candidate.leftOverCpu() >= cpu;
+    return candidate.serving == 0 || latencyWith(candidate, step.image) <= latencyGoal;
 }
 
 worker *isolating_placement::choose(const std::vector<worker *> &candidates,
--- a/src/libsched/job.cpp
+++ b/src/libsched/job.cpp
@@ -103,7 +103,8 @@
     return { .run = run,
              .amount = reservation(step),
              .fillingCpu = step.fills ? static_cast<std::int64_t>(step.cpu) : 0,
-             .serves = step.targetMs > 0 };
+             .serves = step.targetMs > 0,
+             .image = step.image };
 }
 
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -12,14 +12,16 @@
 const std::string ownerKey = "owner";
 /// Retries and schedules that come due need a pass although no event announces them.
 constexpr std::chrono::milliseconds passInterval{ 250 };
+constexpr std::chrono::seconds stateLogInterval{ 10 };
 
 } // namespace
 
 scheduler::scheduler(const scheduler_options &options, const placement_policy &placement,
-                     const waiting_order &order)
+                     const waiting_order &order, interference_model &interference)
     : m_options(options)
     , m_placement(placement)
     , m_order(order)
+    , m_interference(interference)
 {}
 
 void scheduler::load(const stored_record &record)
@@ -102,10 +104,39 @@
     for (job *target : m_open)
         addDueOccurrences(*target, wallMs);
     removeOldJobs(wallMs);
+    if (now - m_lastStateLog >= stateLogInterval) {
+        m_lastStateLog = now;
+        logState();
+    }
     if (now - m_lastPass >= passInterval)
         m_roomChanged = true;
 }
 
+void scheduler::logState()
+{
+    std::size_t started = 0;
+    for (const job *target : m_open)
+        started += target->started ? 1 : 0;
+    log(log_level::info, "partition_state",
+        { { "jobs", std::to_string(m_jobs.size()) },
+          { "open", std::to_string(m_open.size()) },
+          { "started", std::to_string(started) },
+          { "workers", std::to_string(m_workers.size()) },
+          { "agents", std::to_string(m_connected.size()) } });
+    for (const auto &[key, where] : m_workers) {
+        log(log_level::debug, "worker_load",
+            { { "worker", key.id },
+              { "node", where->agent },
+              { "usable",
+                where->connected && where->ready && where->responsive ? "yes" : "no" },
+              { "runs", std::to_string(where->runs.size()) },
+              { "serving", std::to_string(where->serving) },
+              { "reserved_cpu", std::to_string(where->used.cpu) },
+              { "filling_cpu", std::to_string(where->fillingCpu) },
+              { "memory_mb", std::to_string(where->used.memoryMb) } });
+    }
+}
+
 std::optional<std::vector<stored_record>> scheduler::nextCommit(instant now, std::int64_t wallMs)
 {
     if (m_commitInFlight || !m_loaded)
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -207,10 +207,9 @@
               { "runs", std::to_string(where.runs.size()) },
               { "reason", reason } });
     }
-    const auto runs = std::exchange(where.runs, {});
-    where.used = {};
-    where.fillingCpu = 0;
-    where.serving = 0;
+    const auto runs = where.runs;
+    for (const auto &[name, held] : runs)
+        where.release(name, held.run);
     for (const auto &[name, held] : runs) {
         const task_place place = find(name);
         if (place.item && place.item->phase == task_phase::active && place.item->run == held.run)
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -118,6 +118,31 @@
     }
 }
 
+void scheduler::learnInterference(const worker &where, const agent_report &report)
+{
+    interference_model::observation seen;
+    seen.batchShare = report.fillingPercent / 100.0;
+    std::vector<std::pair<std::string, double>> latencies;
+    for (const auto &each : report.running) {
+        const auto held = where.runs.find(each->task);
+        if (held == where.runs.end() || held->second.run != each->run)
+            continue;
+        if (held->second.fillingCpu > 0)
+            ++seen.batch[held->second.image];
+        const task_place place = find(each->task);
+        if (!held->second.serves || !place.item || each->usage == 0)
+            continue;
+        const step_spec &step = place.owner->stepSpec(task_name::parse(each->task)->step);
+        latencies.emplace_back(held->second.image,
+                               static_cast<double>(each->usage) / step.targetMs);
+    }
+    for (const auto &[image, ratio] : latencies) {
+        seen.service = image;
+        seen.latencyRatio = ratio;
+        m_interference.observe(seen);
+    }
+}
+
 void scheduler::reconcile(worker &where, const agent_report &report)
 {
     std::set<std::pair<std::string, std::uint32_t>> present;
@@ -186,6 +211,7 @@
     if (report.complete) {
         where.connected = true;
         reconcile(where, report);
+        learnInterference(where, report);
     }
     grant(node, &where, report, now);
 }
--- a/src/libsched/worker.cpp
+++ b/src/libsched/worker.cpp
@@ -2,6 +2,36 @@
 
 namespace plantainpitch::sched {
 
+namespace {
+
+/// Share of their reservation that serving tasks use outside their peaks.
+constexpr double servingUse = 0.7;
+
+void countImage(std::map<std::string, std::uint32_t> &images, const std::string &image, bool added)
+{
+    std::uint32_t &count = images[image];
+    count = added ? count + 1 : count - 1;
+    if (count == 0)
+        images.erase(image);
+}
+
+void countImages(worker &where, const allocation &run, bool added)
+{
+    if (run.serves)
+        countImage(where.servingImages, run.image, added);
+    if (run.fillingCpu > 0)
+        countImage(where.fillingImages, run.image, added);
+}
+
+} // namespace
+
+std::int64_t worker::leftOverCpu() const
+{
+    const auto unused = static_cast<std::int64_t>((1 - servingUse)
+                                                  * static_cast<double>(servingCpu));
+    return capacity.cpu - used.cpu + unused - fillingCpu;
+}
+
 void worker::hold(const std::string &name, const allocation &amount)
 {
     const auto earlier = runs.find(name);
@@ -11,6 +41,8 @@
     used = used + amount.amount;
     fillingCpu += amount.fillingCpu;
     serving += amount.serves ? 1 : 0;
+    servingCpu += amount.serves ? amount.amount.cpu : 0;
+    countImages(*this, amount, true);
 }
 
 bool worker::release(const std::string &name, std::uint32_t run)
@@ -21,6 +53,8 @@
     used = used - found->second.amount;
     fillingCpu -= found->second.fillingCpu;
     serving -= found->second.serves ? 1 : 0;
+    servingCpu -= found->second.serves ? found->second.amount.cpu : 0;
+    countImages(*this, found->second, false);
     runs.erase(found);
     return true;
 }
