--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -22,6 +22,7 @@
     std::string checkpoint;
     bool seen = false; ///< the worker has listed the run
     instant retryAt{}; ///< not started again before
+    instant orderedAt{}; ///< of the last start; the takeover, if an earlier owner ordered it
 };
 
 /// One step of one occurrence.
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -128,6 +128,8 @@
 
     // scheduler_runs.cpp
     task_place find(const std::string &name);
+    void logEnd(const worker &where, const run_end &end, const task_place &place, bool current,
+                instant now);
     void onEnd(worker &where, const run_end &end, instant now);
     void onRefusal(worker &where, const run_refusal &refusal, instant now);
     void taskDone(const task_place &place);
@@ -140,7 +142,7 @@
     void placeStep(job &target, const queue_config &queue, occurrence &within, std::uint32_t step,
                    instant now);
     void start(job &target, occurrence &within, std::uint32_t step, std::uint32_t index,
-               worker &where, std::uint32_t run);
+               worker &where, std::uint32_t run, instant now);
     [[nodiscard]] std::vector<worker *> candidates(const job &target, const queue_config &queue,
                                                    const occurrence &within, std::uint32_t step,
                                                    instant now);
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -149,6 +149,29 @@
         endJob(*place.owner, job_outcome::failed);
 }
 
+void scheduler::logEnd(const worker &where, const run_end &end, const task_place &place,
+                       bool current, instant now)
+{
+    std::vector<std::pair<std::string, std::string>> fields = {
+        { "task", end.task },
+        { "run", std::to_string(end.run) },
+        { "worker", where.key.id },
+        { "outcome", std::to_string(end.outcome) },
+        { "current", current ? "yes" : "no" }
+    };
+    if (current) {
+        using std::chrono::milliseconds;
+        const auto took = std::chrono::duration_cast<milliseconds>(now - place.item->orderedAt);
+        const auto step = static_cast<std::uint32_t>(place.step - place.within->steps.data());
+        const step_spec &spec = place.owner->stepSpec(step);
+        fields.emplace_back("took_ms", std::to_string(took.count()));
+        fields.emplace_back("estimate_ms", std::to_string(spec.estimateMs));
+        fields.emplace_back("fills", spec.fills ? "yes" : "no");
+        fields.emplace_back("serving_beside", std::to_string(where.serving));
+    }
+    log(log_level::info, "run_ended", std::move(fields));
+}
+
 void scheduler::onEnd(worker &where, const run_end &end, instant now)
 {
     release(where, end.task, end.run);
@@ -156,12 +179,7 @@
     const auto outcome = static_cast<run_outcome>(end.outcome);
     const bool current = place.item && place.item->phase == task_phase::active
             && place.item->run == end.run && place.item->place == where.key;
-    log(log_level::info, "run_ended",
-        { { "task", end.task },
-          { "run", std::to_string(end.run) },
-          { "worker", where.key.id },
-          { "outcome", std::to_string(end.outcome) },
-          { "current", current ? "yes" : "no" } });
+    logEnd(where, end, place, current, now);
     if (!current)
         return;
     if (!end.checkpoint.empty())
@@ -248,7 +266,7 @@
 }
 
 void scheduler::start(job &target, occurrence &within, std::uint32_t step, std::uint32_t index,
-                      worker &where, std::uint32_t run)
+                      worker &where, std::uint32_t run, instant now)
 {
     const step_spec &spec = target.stepSpec(step);
     step_run &runs = within.steps[step];
@@ -260,6 +278,7 @@
     item.run = run;
     item.place = where.key;
     item.seen = false;
+    item.orderedAt = now;
     target.started = true;
     agent_orders &orders = ordersFor(where);
     allocation held = allocationFor(spec, run);
@@ -303,7 +322,7 @@
         worker *where = m_placement.choose(usable, target.stepSpec(step), item);
         if (!where)
             return;
-        start(target, within, step, index, *where, gang ? gangRun : item.run + 1);
+        start(target, within, step, index, *where, gang ? gangRun : item.run + 1, now);
         if (target.stepSpec(step).maxPerVm > 0)
             usable = candidates(target, queue, within, step, now);
         else if (!needed.fits(where->room()) || !m_placement.admits(*where, target.stepSpec(step)))
