--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -120,8 +120,7 @@
     [[nodiscard]] progress progressOf(const job &target) const;
     void answer(const std::string &node, std::uint64_t number, call_outcome outcome,
                 const job *about, bool afterCommit);
-    void submit(const std::string &node, const client_call &call, instant now,
-                std::int64_t wallMs);
+    void submit(const std::string &node, const client_call &call, instant now, std::int64_t wallMs);
     void cancel(const std::string &node, const client_call &call);
     [[nodiscard]] std::uint32_t pendingJobs(const std::string &queue) const;
     [[nodiscard]] const queue_config *queueOf(const job &target) const;
--- a/src/libfleet/gateway_process.cpp
+++ b/src/libfleet/gateway_process.cpp
@@ -7,28 +7,27 @@
                                  std::function<void(const sched::config_document &)> onConfig)
     : m_time(time)
     , m_log(log)
-    , m_endpoint(
-              context, std::move(options),
-              { .opened =
-                        [this](const sched::owner_hello &hello) {
-                            return m_gateway.ownerOpened(hello, m_time.now());
-                        },
-                .ready = [this] { flush(); },
-                .received =
-                        [this, onConfig](const sched::message &content) {
-                            if (const auto *answer = content.content.Asclient_answer())
-                                m_gateway.onAnswer(*answer);
-                            else if (const auto *config = content.content.Asconfig_document())
-                                onConfig(*config);
-                            flush();
-                        },
-                .closed = [this] { m_gateway.ownerClosed(m_time.now()); },
-                .failed =
-                        [this](const std::string &problem) {
-                            m_log.write({ log_level::error,
-                                          "owner_message_unreadable",
-                                          { { "problem", problem } } });
-                        } })
+    , m_endpoint(context, std::move(options),
+                 { .opened =
+                           [this](const sched::owner_hello &hello) {
+                               return m_gateway.ownerOpened(hello, m_time.now());
+                           },
+                   .ready = [this] { flush(); },
+                   .received =
+                           [this, onConfig](const sched::message &content) {
+                               if (const auto *answer = content.content.Asclient_answer())
+                                   m_gateway.onAnswer(*answer);
+                               else if (const auto *config = content.content.Asconfig_document())
+                                   onConfig(*config);
+                               flush();
+                           },
+                   .closed = [this] { m_gateway.ownerClosed(m_time.now()); },
+                   .failed =
+                           [this](const std::string &problem) {
+                               m_log.write({ log_level::error,
+                                             "owner_message_unreadable",
+                                             { { "problem", problem } } });
+                           } })
 {}
 
 void gateway_process::tick()
--- a/src/libfleet/member_dialer.cpp
+++ b/src/libfleet/member_dialer.cpp
@@ -64,8 +64,8 @@
     boost::system::error_code code;
     const auto ip = asio::ip::make_address(address ? address->host : std::string(), code);
     if (code) {
-        m_calls.failed("member " + target->who.node + " has no usable address: "
-                       + target->who.address);
+        m_calls.failed("member " + target->who.node
+                       + " has no usable address: " + target->who.address);
         return;
     }
     const asio::ip::tcp::endpoint where(ip, address->port);
--- a/src/libfleet/member_endpoint.cpp
+++ b/src/libfleet/member_endpoint.cpp
@@ -62,8 +62,8 @@
 
 void member_endpoint::serve(asio::ip::tcp::socket socket)
 {
-    auto link = std::make_shared<runtime::frame_link>(std::move(socket),
-                                                      runtime::frame_link_options{});
+    auto link =
+            std::make_shared<runtime::frame_link>(std::move(socket), runtime::frame_link_options{});
     const std::weak_ptr<runtime::frame_link> weak = link;
     link->start({ .frame =
                           [this, weak](const std::string &frame) {
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -94,16 +94,16 @@
     writeLog(log_level::info, "partition_assigned",
              { { "generation", std::to_string(m_generation) } });
     m_tenure = std::make_shared<tenure>(m_context);
-    m_store.beginEpoch([this, current = m_tenure](sched::append_status status,
-                                                  std::uint64_t epoch) {
-        if (m_tenure != current)
-            return;
-        current->epoch = epoch;
-        if (status != sched::append_status::stored)
-            end(status == sched::append_status::fenced ? "fenced" : "store_unavailable");
-        else
-            load(current);
-    });
+    m_store.beginEpoch(
+            [this, current = m_tenure](sched::append_status status, std::uint64_t epoch) {
+                if (m_tenure != current)
+                    return;
+                current->epoch = epoch;
+                if (status != sched::append_status::stored)
+                    end(status == sched::append_status::fenced ? "fenced" : "store_unavailable");
+                else
+                    load(current);
+            });
 }
 
 void owner_process::load(const std::shared_ptr<tenure> &current)
--- a/src/libruntime/logging.cpp
+++ b/src/libruntime/logging.cpp
@@ -60,8 +60,8 @@
     m_state->logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("plantain"));
     m_state->logger.setLogLevel(levelOf(levelNamed(level)));
     m_state->logger.setAdditivity(false);
-    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
-            stream == log_stream::standard_error, true));
+    const log4cplus::SharedAppenderPtr appender(
+            new log4cplus::ConsoleAppender(stream == log_stream::standard_error, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
             LOG4CPLUS_TEXT("time=%d{%Y-%m-%dT%H:%M:%S.%qZ} %m%n")));
     m_state->logger.addAppender(appender);
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -231,7 +231,7 @@
     const std::chrono::duration<double, std::milli> remaining = m_authorityUntil - now;
     m_leasedUntil = std::max(m_leasedUntil, m_authorityUntil);
     return m_workerClockMs
-            + static_cast<std::int64_t>(slowest * (sinceReading.count() + remaining.count()));
+           + static_cast<std::int64_t>(slowest * (sinceReading.count() + remaining.count()));
 }
 
 std::uint32_t agent::holdWaitMs() const
--- a/src/libsched/fake_fleet_worker.h
+++ b/src/libsched/fake_fleet_worker.h
@@ -62,8 +62,8 @@
             else if (state.stopping && clockMs >= state.stopAtMs)
                 ends.emplace_back(task, sched::run_outcome::stopped);
             else if (state.leftMs <= 0)
-                ends.emplace_back(task, failsAll ? sched::run_outcome::failed
-                                                 : sched::run_outcome::done);
+                ends.emplace_back(task,
+                                  failsAll ? sched::run_outcome::failed : sched::run_outcome::done);
         }
         for (const auto &[task, outcome] : ends)
             end(task, outcome);
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -123,10 +123,7 @@
         return call;
     }
 
-    void send(const sched::client_call &call)
-    {
-        owner->onCall("gateway", call, now(), wallMs());
-    }
+    void send(const sched::client_call &call) { owner->onCall("gateway", call, now(), wallMs()); }
 
     [[nodiscard]] std::optional<sched::job_state> shown(const std::string &id) const
     {
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -69,7 +69,7 @@
     for (const sched::worker_call &call : where.agent->takeCalls()) {
         node::waiting_call waiting{ call, timeMs, timeMs + call.waitMs, true };
         const bool order = call.kind == sched::worker_call_kind::start
-                || call.kind == sched::worker_call_kind::stop;
+                           || call.kind == sched::worker_call_kind::stop;
         if (order && std::uniform_real_distribution<>(0, 1)(random) < lostAnswers) {
             waiting.dueMs += std::uniform_int_distribution<std::int64_t>(2'000, 12'000)(random);
             waiting.answerMs = timeMs + 1'000;
@@ -105,8 +105,8 @@
             each.answerMs = 0;
         }
         const bool early = each.call.kind == sched::worker_call_kind::hold
-                && !where.worker.ended.empty()
-                && where.worker.ended.back().number > each.call.endsNoted;
+                           && !where.worker.ended.empty()
+                           && where.worker.ended.back().number > each.call.endsNoted;
         const std::int64_t due = each.answered && !early ? each.answerMs : each.dueMs;
         if (timeMs < due) {
             where.calls.push_back(each);
--- a/src/libsched/gateway.cpp
+++ b/src/libsched/gateway.cpp
@@ -81,7 +81,7 @@
         open_call &call = entry->second;
         const bool unsent = call.waiting && !call.sent;
         const bool expired = now >= call.deadline
-                || (call.waiting && now - call.received >= longestWithoutOwner);
+                             || (call.waiting && now - call.received >= longestWithoutOwner);
         if (!expired) {
             ++entry;
             continue;
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -80,8 +80,8 @@
     return candidate.serving == 0 || latencyWith(candidate, step.image) <= latencyGoal;
 }
 
-worker *isolating_placement::choose(const std::vector<worker *> &candidates,
-                                    const step_spec &step, const task &previous) const
+worker *isolating_placement::choose(const std::vector<worker *> &candidates, const step_spec &step,
+                                    const task &previous) const
 {
     worker *best = nullptr;
     double lowest = 0;
--- a/src/libsched/messages.cpp
+++ b/src/libsched/messages.cpp
@@ -20,8 +20,7 @@
     const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
     flatbuffers::Verifier verifier(data, bytes.size());
     if (!verifier.VerifyBuffer<Table>(nullptr)) {
-        throw error(error_kind::protocol_error,
-                    std::string("the bytes are not a ") + what,
+        throw error(error_kind::protocol_error, std::string("the bytes are not a ") + what,
                     "check that all processes run the same release");
     }
     typename Table::NativeTableType value;
--- a/src/libsched/pacing.cpp
+++ b/src/libsched/pacing.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 // Shares of the target. The gap between them keeps the percentage from swinging.
-constexpr double slowAbove = 0.85;
-constexpr double speedUpBelow = 0.6;
-constexpr std::uint32_t stepUp = 10;
+constexpr double slowAbove = 0.95;
+constexpr double speedUpBelow = 0.8;
+constexpr std::uint32_t stepUp = 20;
 /// Below this a task makes no progress worth its disturbance.
 constexpr std::uint32_t smallest = 10;
 
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -62,8 +62,8 @@
     // A run of an earlier owner may be leased by a grant that was given just before.
     for (auto &[key, where] : m_workers) {
         const auto longest = m_options.staleOwner + m_options.term * (1 + m_options.clockDrift);
-        where->leasedUntil = now + std::chrono::duration_cast<duration>(longest)
-                + m_options.leaseMargin;
+        where->leasedUntil =
+                now + std::chrono::duration_cast<duration>(longest) + m_options.leaseMargin;
     }
     m_roomChanged = true;
     log(log_level::info, "partition_taken",
@@ -83,8 +83,8 @@
         if (const queue_config *queue = queueOf(*target)) {
             const double chain = queue->stretch * static_cast<double>(target->longestChainMs());
             target->objective = target->received
-                    + std::chrono::milliseconds(static_cast<std::int64_t>(chain)
-                                                + queue->targetLatencyMs);
+                                + std::chrono::milliseconds(static_cast<std::int64_t>(chain)
+                                                            + queue->targetLatencyMs);
         }
     }
     m_roomChanged = true;
@@ -127,8 +127,7 @@
         log(log_level::debug, "worker_load",
             { { "worker", key.id },
               { "node", where->agent },
-              { "usable",
-                where->connected && where->ready && where->responsive ? "yes" : "no" },
+              { "usable", where->connected && where->ready && where->responsive ? "yes" : "no" },
               { "runs", std::to_string(where->runs.size()) },
               { "serving", std::to_string(where->serving) },
               { "reserved_cpu", std::to_string(where->used.cpu) },
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -53,8 +53,8 @@
     if (const queue_config *queue = queueOf(target)) {
         const double chain = queue->stretch * static_cast<double>(target.longestChainMs());
         target.objective = now
-                + std::chrono::milliseconds(static_cast<std::int64_t>(chain)
-                                            + queue->targetLatencyMs);
+                           + std::chrono::milliseconds(static_cast<std::int64_t>(chain)
+                                                       + queue->targetLatencyMs);
     }
     double &mean = m_meanWork[target.request.queue];
     mean = mean > 0 ? mean + meanWeight * (target.estimatedWork() - mean) : target.estimatedWork();
@@ -128,9 +128,8 @@
     }
     for (occurrence &within : target.occurrences) {
         within.doneSteps = static_cast<std::uint32_t>(
-                std::count_if(within.steps.begin(), within.steps.end(), [](const step_run &step) {
-                    return step.done == step.tasks.size();
-                }));
+                std::count_if(within.steps.begin(), within.steps.end(),
+                              [](const step_run &step) { return step.done == step.tasks.size(); }));
     }
 }
 
@@ -173,9 +172,9 @@
     m_roomChanged = true;
     if (target.occurrences.size() < target.occurrenceCount())
         return;
-    const bool complete = std::all_of(
-            target.occurrences.begin(), target.occurrences.end(),
-            [](const occurrence &each) { return each.doneSteps == each.steps.size(); });
+    const bool complete =
+            std::all_of(target.occurrences.begin(), target.occurrences.end(),
+                        [](const occurrence &each) { return each.doneSteps == each.steps.size(); });
     if (complete)
         endJob(target, job_outcome::completed);
 }
@@ -206,7 +205,7 @@
     log(log_level::info, "job_ended",
         { { "job", target.request.id },
           { "outcome", outcome == job_outcome::completed ? "completed"
-                    : outcome == job_outcome::failed     ? "failed"
+                       : outcome == job_outcome::failed  ? "failed"
                                                          : "cancelled" } });
 }
 
@@ -216,7 +215,7 @@
     for (auto entry = m_jobs.begin(); entry != m_jobs.end();) {
         const job &target = *entry->second;
         const bool unused = target.ended() && target.endedMs > 0 && !target.progressChanged
-                && wallMs - target.endedMs > keep.count();
+                            && wallMs - target.endedMs > keep.count();
         if (!unused) {
             ++entry;
             continue;
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -178,7 +178,7 @@
     const task_place place = find(end.task);
     const auto outcome = static_cast<run_outcome>(end.outcome);
     const bool current = place.item && place.item->phase == task_phase::active
-            && place.item->run == end.run && place.item->place == where.key;
+                         && place.item->run == end.run && place.item->place == where.key;
     logEnd(where, end, place, current, now);
     if (!current)
         return;
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -155,8 +155,8 @@
         present.emplace(each->task, each->run);
         const task_place place = find(each->task);
         const bool current = place.item && place.item->phase == task_phase::active
-                && place.item->run == each->run && place.item->place == where.key
-                && !place.owner->ended();
+                             && place.item->run == each->run && place.item->place == where.key
+                             && !place.owner->ended();
         if (!current) {
             if (place.item && where.runs.count(each->task) == 0) {
                 const step_spec &spec = place.owner->stepSpec(task_name::parse(each->task)->step);
@@ -231,8 +231,8 @@
     m_messages.push_back({ node, makeMessage(std::move(orders)) });
     if (!where)
         return;
-    const auto term = std::chrono::duration_cast<duration>(m_options.term
-                                                           * (1 + m_options.clockDrift));
+    const auto term =
+            std::chrono::duration_cast<duration>(m_options.term * (1 + m_options.clockDrift));
     where->leasedUntil = std::max(where->leasedUntil, now + term + m_options.leaseMargin);
 }
 
--- a/src/libsched/spread_placement.cpp
+++ b/src/libsched/spread_placement.cpp
@@ -14,8 +14,9 @@
 double load(const worker &candidate)
 {
     const double cpu = static_cast<double>(candidate.used.cpu + candidate.fillingCpu)
-            / static_cast<double>(std::max<std::int64_t>(candidate.capacity.cpu, 1));
-    const double memory = static_cast<double>(candidate.used.memoryMb)
+                       / static_cast<double>(std::max<std::int64_t>(candidate.capacity.cpu, 1));
+    const double memory =
+            static_cast<double>(candidate.used.memoryMb)
             / static_cast<double>(std::max<std::int64_t>(candidate.capacity.memoryMb, 1));
     return std::max(cpu, memory);
 }
--- a/src/libsched/worker.cpp
+++ b/src/libsched/worker.cpp
@@ -27,8 +27,8 @@
 
 std::int64_t worker::leftOverCpu() const
 {
-    const auto unused = static_cast<std::int64_t>((1 - servingUse)
-                                                  * static_cast<double>(servingCpu));
+    const auto unused =
+            static_cast<std::int64_t>((1 - servingUse) * static_cast<double>(servingCpu));
     return capacity.cpu - used.cpu + unused - fillingCpu;
 }
 
--- a/src/libsched/worth_order.cpp
+++ b/src/libsched/worth_order.cpp
@@ -21,8 +21,8 @@
     const instant end = now + std::chrono::milliseconds(candidate.remainingChainMs());
     if (end <= candidate.objective)
         return 0;
-    const instant latest = candidate.received
-            + lateFactor * (candidate.objective - candidate.received);
+    const instant latest =
+            candidate.received + lateFactor * (candidate.objective - candidate.received);
     return end <= latest ? 1 : 2;
 }
 
@@ -36,9 +36,8 @@
 
 double worth_order::rank(const job &candidate, const queue_view &queue, instant now) const
 {
-    return queue.config->priority * betweenPriorities
-            + lateness(candidate, now) * betweenLateness
-            + candidate.remainingWork() / worth(candidate, queue.meanWork);
+    return queue.config->priority * betweenPriorities + lateness(candidate, now) * betweenLateness
+           + candidate.remainingWork() / worth(candidate, queue.meanWork);
 }
 
 } // namespace plantainpitch::sched
