--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -150,7 +150,7 @@
     // scheduler_workers.cpp
     worker &workerAt(const std::string &node, const worker_info &info, instant now);
     void reconcile(worker &where, const agent_report &report);
-    void learnInterference(const worker &where, const agent_report &report);
+    void learnInterference(worker &where, const agent_report &report);
     void describe(worker &where, const std::vector<std::string> &names);
     void grant(const std::string &node, worker *where, const agent_report &report, instant now);
     [[nodiscard]] bool hasMajority() const;
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -48,6 +48,9 @@
     std::int64_t servingCpu = 0; ///< what they reserve
     std::map<std::string, std::uint32_t> servingImages; ///< runs by image
     std::map<std::string, std::uint32_t> fillingImages; ///< runs by image
+    /// Worst latency of the serving runs at the last report, in shares of the target; 0: unknown.
+    double reportedLatency = 0;
+    std::map<std::string, std::uint32_t> filledSinceReport; ///< runs by image
     bool ready = false; ///< not draining
     bool responsive = false;
     bool connected = false; ///< the agent is connected and its runs are known
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -42,14 +42,18 @@
     return worst;
 }
 
-/// The worst expected latency of the serving tasks there with one more task of the image.
+/// The worst expected latency of the serving tasks there with one more task of the image. Their own
+/// load moves it more than most images do, so the last measurement is a better base than the mean.
 double isolating_placement::latencyWith(const worker &where, const std::string &image) const
 {
-    auto filling = where.fillingImages;
+    const bool measured = where.reportedLatency > 0;
+    auto filling = measured ? where.filledSinceReport : where.fillingImages;
     ++filling[image];
     double worst = 0;
-    for (const auto &[serving, count] : where.servingImages)
-        worst = std::max(worst, m_model.alone(serving, 0) + m_model.added(serving, 0, filling));
+    for (const auto &[serving, count] : where.servingImages) {
+        const double base = measured ? where.reportedLatency : m_model.alone(serving, 0);
+        worst = std::max(worst, base + m_model.added(serving, 0, filling));
+    }
     return worst;
 }
 
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -118,7 +118,7 @@
     }
 }
 
-void scheduler::learnInterference(const worker &where, const agent_report &report)
+void scheduler::learnInterference(worker &where, const agent_report &report)
 {
     interference_model::observation seen;
     seen.batchShare = report.fillingPercent / 100.0;
@@ -136,7 +136,10 @@
         latencies.emplace_back(held->second.image,
                                static_cast<double>(each->usage) / step.targetMs);
     }
+    where.reportedLatency = 0;
+    where.filledSinceReport.clear();
     for (const auto &[image, ratio] : latencies) {
+        where.reportedLatency = std::max(where.reportedLatency, ratio);
         seen.service = image;
         seen.latencyRatio = ratio;
         m_interference.observe(seen);
