Refuse new jobs at once while the store is down; name steps without an image

Now they are refused after half a second of failed batches, with a Retry-After that grows with the outage; jobs in a batch on its way still wait for it. Cause of the second: fillingTasksRunAlthoughEveryVmServes failed since the interference model was introduced, because steps without an image had the key that stands for no batch task.

--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -84,6 +84,9 @@
 /// What one task of the step reserves; a step that fills reserves no processors.
 resources reservation(const step_spec &step);
 
+/// Name of the step's image. Never empty: to an interference model that means "no batch task".
+std::string imageOf(const step_spec &step);
+
 /// What a run of the step holds on its worker.
 allocation allocationFor(const step_spec &step, std::uint32_t run);
 
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -69,6 +69,9 @@
     /// The store has confirmed the ownership by an answer to a call sent at \a sent.
     void confirmOwnership(instant sent) { m_confirmed = std::max(m_confirmed, sent); }
 
+    /// Calls to store a batch have failed since \a since.
+    void storeFailed(instant since) { m_storeFailedSince = since; }
+
     void agentOpened(const std::string &node, instant now);
     void agentClosed(const std::string &node, instant now);
     void onReport(const std::string &node, const agent_report &report, instant now);
@@ -120,6 +123,8 @@
     [[nodiscard]] progress progressOf(const job &target) const;
     void answer(const std::string &node, std::uint64_t number, call_outcome outcome,
                 const job *about, bool afterCommit);
+    void refuse(const std::string &node, const client_call &call, const char *reason,
+                duration retryAfter);
     void submit(const std::string &node, const client_call &call, instant now, std::int64_t wallMs);
     void cancel(const std::string &node, const client_call &call);
     [[nodiscard]] std::uint32_t pendingJobs(const std::string &queue) const;
@@ -185,6 +190,7 @@
     std::uint64_t m_lastOrders = 0;
     bool m_roomChanged = false; ///< a pass may start something
     bool m_commitInFlight = false;
+    std::optional<instant> m_storeFailedSince;
     instant m_lastPass{};
     instant m_lastStateLog{};
 
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -31,6 +31,7 @@
     std::optional<member_dialer> members;
     std::vector<sched::stored_record> batch; ///< on its way to the store
     std::uint64_t batchNumber = 0;
+    std::optional<instant> failedSince; ///< first failure of the batch on its way
     std::set<std::string> agentsGone;
 };
 
@@ -237,11 +238,15 @@
                            return;
                        }
                        if (status == sched::append_status::stored) {
+                           current->failedSince.reset();
                            current->scheduler->confirmOwnership(sent);
                            current->scheduler->commitDone(m_time.now());
                            pump();
                            return;
                        }
+                       if (!current->failedSince)
+                           current->failedSince = sent;
+                       current->scheduler->storeFailed(*current->failedSince);
                        current->retryTimer.expires_after(storeRetryInterval);
                        current->retryTimer.async_wait(
                                [this, current](const boost::system::error_code &failure) {
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -39,6 +39,8 @@
         batch.reset();
         owner->commitDone(now());
     }
+    if (batch && !storeUp && timeMs >= batch->doneMs)
+        owner->storeFailed(instant(std::chrono::milliseconds(batch->doneMs)));
     owner->confirmOwnership(storeUp ? now() : instant{});
     owner->tick(now(), wallMs());
     if (auto records = owner->nextCommit(now(), wallMs()))
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -62,10 +62,10 @@
     if (step.fills && candidate.serving == 0)
         return reservedShare(candidate) + fillingShare(candidate);
     if (step.fills) {
-        const double disturbs = disturbance(candidate, step.image);
+        const double disturbs = disturbance(candidate, imageOf(step));
         // VMs without serving tasks are left to images that disturb.
         return disturbs < harmless ? fillingShare(candidate) - 1
-                                   : besideServingPenalty + latencyWith(candidate, step.image);
+                                   : besideServingPenalty + latencyWith(candidate, imageOf(step));
     }
     if (step.targetMs == 0) // takes processors that no filling task could use
         return candidate.serving > 0 ? reservedShare(candidate)
@@ -81,7 +81,7 @@
         return true;
     if (candidate.leftOverCpu() < static_cast<std::int64_t>(step.cpu))
         return false;
-    return candidate.serving == 0 || latencyWith(candidate, step.image) <= latencyGoal;
+    return candidate.serving == 0 || latencyWith(candidate, imageOf(step)) <= latencyGoal;
 }
 
 worker *isolating_placement::choose(const std::vector<worker *> &candidates, const step_spec &step,
--- a/src/libsched/job.cpp
+++ b/src/libsched/job.cpp
@@ -98,13 +98,18 @@
              .accelerators = step.accelerators };
 }
 
+std::string imageOf(const step_spec &step)
+{
+    return step.image.empty() ? "unnamed" : step.image;
+}
+
 allocation allocationFor(const step_spec &step, std::uint32_t run)
 {
     return { .run = run,
              .amount = reservation(step),
              .fillingCpu = step.fills ? static_cast<std::int64_t>(step.cpu) : 0,
              .serves = step.targetMs > 0,
-             .image = step.image };
+             .image = imageOf(step) };
 }
 
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -176,6 +176,7 @@
 void scheduler::commitDone(instant /*now*/)
 {
     m_commitInFlight = false;
+    m_storeFailedSince.reset();
     for (const auto &[id, state] : m_inFlight.shown) {
         const auto found = m_jobs.find(id);
         if (found == m_jobs.end())
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -7,7 +7,12 @@
 namespace {
 
 /// A job of which nobody knows the queue yet is tried again by the client after that time.
-constexpr std::uint32_t notReadyRetryMs = 300;
+constexpr std::chrono::milliseconds notReadyRetry{ 300 };
+/// A store that has failed for this long is taken for down: new jobs cannot be accepted.
+constexpr std::chrono::milliseconds storeDownAfter{ 500 };
+// An outage that has lasted a while lasts on; clients come back about as often as is useful.
+constexpr std::chrono::milliseconds shortestOutageRetry{ 1'000 };
+constexpr std::chrono::milliseconds longestOutageRetry{ 3'000 };
 
 /// Weight of the newest job in the mean of its queue.
 constexpr double meanWeight = 0.05;
@@ -233,18 +238,33 @@
     result.outcome = static_cast<std::uint8_t>(outcome);
     if (about)
         result.state = static_cast<std::uint8_t>(about->shown);
-    if (outcome == call_outcome::rejected || outcome == call_outcome::unavailable)
-        result.retryAfterMs = notReadyRetryMs;
     auto &target = afterCommit ? m_staged.messages : m_messages;
     target.push_back({ node, makeMessage(std::move(result)) });
 }
 
+void scheduler::refuse(const std::string &node, const client_call &call, const char *reason,
+                       duration retryAfter)
+{
+    using std::chrono::milliseconds;
+    const auto retryMs = std::chrono::duration_cast<milliseconds>(retryAfter).count();
+    log(log_level::warning, "call_refused",
+        { { "job", call.job },
+          { "queue", call.queue },
+          { "reason", reason },
+          { "retry_after_ms", std::to_string(retryMs) } });
+    client_answer result;
+    result.number = call.number;
+    result.outcome = static_cast<std::uint8_t>(call_outcome::unavailable);
+    result.retryAfterMs = static_cast<std::uint32_t>(retryMs);
+    m_messages.push_back({ node, makeMessage(std::move(result)) });
+}
+
 void scheduler::onCall(const std::string &node, const client_call &call, instant now,
                        std::int64_t wallMs)
 {
     const auto kind = static_cast<call_kind>(call.kind);
     if (!m_loaded || m_config.version == 0) {
-        answer(node, call.number, call_outcome::unavailable, nullptr, false);
+        refuse(node, call, "no_configuration", notReadyRetry);
         return;
     }
     const job *known = findJob(call.job);
@@ -279,6 +299,12 @@
         return;
     }
     const job *known = findJob(call.job);
+    if (!known && m_storeFailedSince && now - *m_storeFailedSince >= storeDownAfter) {
+        const duration outage = now - *m_storeFailedSince;
+        refuse(node, call, "store_down",
+               std::clamp<duration>(outage, shortestOutageRetry, longestOutageRetry));
+        return;
+    }
     if (!known) {
         known = &addJob(*call.submitted, now, wallMs);
         log(log_level::info, "job_accepted",
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -61,6 +61,28 @@
     BOOST_TEST(model.answers.count(7) == 1U);
 }
 
+// Held until their deadline, such requests ended with an outcome that nobody knew.
+BOOST_AUTO_TEST_CASE(newJobsAreRefusedAtOnceWhileTheStoreIsDown)
+{
+    fleet_model model(1);
+    model.run(1'000);
+    model.storeUp = false;
+    model.send(model.submission("first", 1));
+    model.run(1'000);
+    auto call = model.submission("second", 1);
+    call.number = 7;
+    model.send(call);
+    model.run(10);
+    BOOST_REQUIRE(model.answers.count(7) == 1U);
+    const sched::client_answer &answer = model.answers[7];
+    BOOST_TEST(answer.outcome == static_cast<int>(sched::call_outcome::unavailable));
+    BOOST_TEST(answer.retryAfterMs >= 1'000U);
+    model.storeUp = true;
+    model.run(2'000);
+    BOOST_TEST((model.shown("first") == job_state::completed));
+    BOOST_TEST(model.owner->findJob("second") == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(aTaskThatFailsEverywhereFailsItsJobAfterMaxAttempts)
 {
     fleet_model model(6);
