--- a/src/include/plantainpitch/fleet/agent_process.h
+++ b/src/include/plantainpitch/fleet/agent_process.h
@@ -2,7 +2,7 @@
 
 #include "plantainpitch/fleet/member_endpoint.h"
 #include "plantainpitch/runtime/clock.h"
-#include "plantainpitch/runtime/logging.h"
+#include "plantainpitch/runtime/event_log.h"
 #include "plantainpitch/sched/agent.h"
 #include "plantainpitch/sched/worker_port.h"
 
@@ -15,8 +15,8 @@
 {
 public:
     agent_process(boost::asio::io_context &context, sched::worker_port &worker,
-                  const runtime::clock &time, runtime::logging &log,
-                  member_endpoint_options options);
+                  const runtime::clock &time, runtime::event_log &log,
+                  const member_endpoint_options &options);
 
     void start() { m_endpoint.start(); }
     /// To be called every 100 ms or so.
@@ -32,7 +32,7 @@
 
     sched::worker_port &m_worker;
     const runtime::clock &m_time;
-    runtime::logging &m_log;
+    runtime::event_log &m_log;
     sched::agent m_agent;
     member_endpoint m_endpoint;
 };
--- a/src/include/plantainpitch/fleet/gateway_process.h
+++ b/src/include/plantainpitch/fleet/gateway_process.h
@@ -2,7 +2,7 @@
 
 #include "plantainpitch/fleet/member_endpoint.h"
 #include "plantainpitch/runtime/clock.h"
-#include "plantainpitch/runtime/logging.h"
+#include "plantainpitch/runtime/event_log.h"
 #include "plantainpitch/sched/gateway.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,8 +18,8 @@
 public:
     /// \a onConfig is told of configurations that the owner passes on.
     gateway_process(boost::asio::io_context &context, const runtime::clock &time,
-                    runtime::logging &log, member_endpoint_options options,
-                    std::function<void(const sched::config_document &)> onConfig);
+                    runtime::event_log &log, member_endpoint_options options,
+                    const std::function<void(const sched::config_document &)> &onConfig);
 
     void start() { m_endpoint.start(); }
     /// To be called every 100 ms or so.
@@ -35,7 +35,7 @@
     void flush();
 
     const runtime::clock &m_time;
-    runtime::logging &m_log;
+    runtime::event_log &m_log;
     sched::gateway m_gateway;
     std::map<std::uint64_t, std::function<void(const sched::gateway_answer &)>> m_waiting;
     std::uint64_t m_lastCall = 0;
--- a/src/include/plantainpitch/fleet/member_dialer.h
+++ b/src/include/plantainpitch/fleet/member_dialer.h
@@ -23,7 +23,7 @@
     {
         std::function<void(const sched::member &)> opened;
         std::function<void(const sched::member &)> closed;
-        std::function<void(const sched::member &, sched::message)> received;
+        std::function<void(const sched::member &, const sched::message &)> received;
         /// The member could not be reached for longestUnreachable.
         std::function<void(const sched::member &)> gone;
         std::function<void(const std::string &problem)> failed;
--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -3,7 +3,7 @@
 #include "plantainpitch/fleet/member_dialer.h"
 #include "plantainpitch/policy/learned_interference.h"
 #include "plantainpitch/runtime/clock.h"
-#include "plantainpitch/runtime/logging.h"
+#include "plantainpitch/runtime/event_log.h"
 #include "plantainpitch/sched/partition_store.h"
 #include "plantainpitch/sched/scheduler.h"
 
@@ -29,7 +29,8 @@
 {
 public:
     owner_process(boost::asio::io_context &context, sched::partition_store &store,
-                  const runtime::clock &time, runtime::logging &log, owner_process_options options);
+                  const runtime::clock &time, runtime::event_log &log,
+                  owner_process_options options);
     ~owner_process();
 
     /// To be called every 100 ms or so.
@@ -60,7 +61,7 @@
     boost::asio::io_context &m_context;
     sched::partition_store &m_store;
     const runtime::clock &m_time;
-    runtime::logging &m_log;
+    runtime::event_log &m_log;
     const owner_process_options m_options;
     learned_interference m_interference;
     sched::isolating_placement m_placement{ m_interference };
--- a/src/include/plantainpitch/sched/messages.h
+++ b/src/include/plantainpitch/sched/messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plantainpitch/sched/generated/sched_generated.h"
+#include <sched_generated.h>
 
 #include <cstdint>
 #include <string>
--- a/src/libfleet/agent_process.cpp
+++ b/src/libfleet/agent_process.cpp
@@ -3,8 +3,8 @@
 namespace plantainpitch::fleet {
 
 agent_process::agent_process(boost::asio::io_context &context, sched::worker_port &worker,
-                             const runtime::clock &time, runtime::logging &log,
-                             member_endpoint_options options)
+                             const runtime::clock &time, runtime::event_log &log,
+                             const member_endpoint_options &options)
     : m_worker(worker)
     , m_time(time)
     , m_log(log)
--- a/src/libfleet/gateway_process.cpp
+++ b/src/libfleet/gateway_process.cpp
@@ -2,9 +2,10 @@
 
 namespace plantainpitch::fleet {
 
-gateway_process::gateway_process(boost::asio::io_context &context, const runtime::clock &time,
-                                 runtime::logging &log, member_endpoint_options options,
-                                 std::function<void(const sched::config_document &)> onConfig)
+gateway_process::gateway_process(
+        boost::asio::io_context &context, const runtime::clock &time, runtime::event_log &log,
+        member_endpoint_options options,
+        const std::function<void(const sched::config_document &)> &onConfig)
     : m_time(time)
     , m_log(log)
     , m_endpoint(context, std::move(options),
--- a/src/libfleet/member_dialer.cpp
+++ b/src/libfleet/member_dialer.cpp
@@ -114,7 +114,7 @@
         m_byNode[target->who.node] = target;
         m_calls.opened(target->who);
     } else if (target->open) {
-        m_calls.received(target->who, std::move(content));
+        m_calls.received(target->who, content);
     }
 }
 
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -36,7 +36,7 @@
 };
 
 owner_process::owner_process(asio::io_context &context, sched::partition_store &store,
-                             const runtime::clock &time, runtime::logging &log,
+                             const runtime::clock &time, runtime::event_log &log,
                              owner_process_options options)
     : m_context(context)
     , m_store(store)
@@ -167,7 +167,7 @@
                                 schedulePump();
                             },
                     .received =
-                            [this, owned](const sched::member &who, sched::message content) {
+                            [this, owned](const sched::member &who, const sched::message &content) {
                                 if (m_tenure.get() == owned)
                                     onMessage(m_tenure, who, content);
                             },
@@ -239,6 +239,9 @@
                        }
                        if (status == sched::append_status::stored) {
                            current->failedSince.reset();
+                           m_log.observe({ .name = "store_append_latency",
+                                           .label = "jobs",
+                                           .value = m_time.now() - sent });
                            current->scheduler->confirmOwnership(sent);
                            current->scheduler->commitDone(m_time.now());
                            pump();
