--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	@git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v generated | xargs clang-format --dry-run -Werror
 
 lint: build
-	@git ls-files -co --exclude-standard 'src/*.cpp' | grep -v generated | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
+	@git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' | grep -v generated | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
 
 test: format-check build lint
 	@ctest --test-dir $(BUILD) --output-on-failure --timeout 300
--- a/docs/make-settings.py
+++ b/docs/make-settings.py
@@ -10,7 +10,8 @@
 
 DIRECTORY = os.path.dirname(os.path.abspath(__file__))
 PAGE = os.path.join(DIRECTORY, "settings.md")
-PROGRAMS = ("plantain-entry", "plantain-agent", "plantainctl", "plantain-load")
+PROGRAMS = ("plantain-entry", "plantain-agent", "plantainctl", "plantain-load",
+            "plantain-gateway", "plantain-node")
 UPDATE = "make settings"
 # Flags that need no variable: they say what the program is to do, not how it is set up.
 WITHOUT_VARIABLE = ("check", "version", "help", "check_answers")
