Recognise a VM's earlier worker by its agent after a loss of power

Progress records now name the node as well. Ruled out: slow takeover (partition taken within a second of the restart). The test failed first.

--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -126,6 +126,7 @@
         if (!where) {
             where = std::make_unique<worker>();
             where->key = item.place;
+            where->agent = stored->node;
         }
         const step_spec &spec = target.stepSpec(stored->step);
         const task_name name{ target.request.id, stored->occurrence, stored->step, stored->index };
@@ -161,6 +162,9 @@
                 if (inUse) {
                     stored->worker = item.place.id;
                     stored->workerStartMs = item.place.startMs;
+                    const auto where = m_workers.find(item.place);
+                    if (where != m_workers.end())
+                        stored->node = where->second->agent;
                 }
                 if (item.phase != task_phase::done)
                     stored->checkpoint = item.checkpoint;
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -125,6 +125,25 @@
     requireSound(model);
 }
 
+// After a loss of power workers come back under other ids. Their VMs show that the old ones are
+// gone; waiting for the ends of all leases cost nine seconds.
+BOOST_AUTO_TEST_CASE(afterALossOfPowerTasksRunAgainAsSoonAsTheirVmsAreBack)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    model.send(model.submission("a", 6));
+    model.run(300);
+    for (auto &each : model.nodes) {
+        model.crashWorker(each);
+        model.restartAgent(each);
+        each.worker.info.id += "-again";
+        each.worker.restart();
+    }
+    model.newOwner();
+    BOOST_TEST(model.runUntil("a", job_state::completed, 3'000));
+    requireSound(model);
+}
+
 // Each owner writes first, so that the end of the partition, from which epochs are made, moves
 // between two owners. Without it a restarted owner began its epoch a second time.
 BOOST_AUTO_TEST_CASE(anOwnerStoresItsEpochBeforeAnythingElse)
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -71,7 +71,8 @@
     // Earlier incarnations that are known from stored records only are gone as well.
     for (auto each = m_workers.begin(); each != m_workers.end();) {
         const worker &other = *each->second;
-        const bool replaced = other.key.id == key.id && other.key.startMs < key.startMs;
+        const bool sameVm = other.key.id == key.id || other.agent == node;
+        const bool replaced = sameVm && other.key.startMs < key.startMs;
         if (!replaced) {
             ++each;
             continue;
