--- a/src/include/plantainpitch/runtime/frame_link.h
+++ b/src/include/plantainpitch/runtime/frame_link.h
@@ -39,7 +39,7 @@
     frame_link(boost::asio::ip::tcp::socket connected, frame_link_options options);
 
     void start(callbacks calls);
-    void send(std::string frame);
+    void send(const std::string &frame);
     /// Sends what is queued, then closes. The callbacks are not called any more.
     void close();
 
--- a/src/libruntime/frame_link.cpp
+++ b/src/libruntime/frame_link.cpp
@@ -40,7 +40,7 @@
     watch();
 }
 
-void frame_link::send(std::string frame)
+void frame_link::send(const std::string &frame)
 {
     if (m_finished || m_closing)
         return;
