--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -83,7 +83,7 @@
     /// as a whole. Nothing if there is nothing to store or a batch is on its way.
     std::optional<std::vector<stored_record>> nextCommit(instant now, std::int64_t wallMs);
     /// The batch is stored.
-    void commitDone(instant now);
+    void commitDone();
 
     std::vector<outgoing_message> takeMessages();
     std::vector<write_log> takeLogLines();
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -243,7 +243,7 @@
                                            .label = "jobs",
                                            .value = m_time.now() - sent });
                            current->scheduler->confirmOwnership(sent);
-                           current->scheduler->commitDone(m_time.now());
+                           current->scheduler->commitDone();
                            pump();
                            return;
                        }
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -37,7 +37,7 @@
                 stored[record.key] = record.value;
         }
         batch.reset();
-        owner->commitDone(now());
+        owner->commitDone();
     }
     if (batch && !storeUp && timeMs >= batch->doneMs)
         owner->storeFailed(instant(std::chrono::milliseconds(batch->doneMs)));
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -15,7 +15,7 @@
 
 constexpr double besideServingPenalty = 2.0;
 /// Share of a latency target that serving tasks may be expected to reach; the rest is for waves.
-constexpr double latencyGoal = 0.75;
+constexpr double latencyGoal = 0.6;
 /// An image that adds less than this share of a target does not count as disturbing.
 constexpr double harmless = 0.03;
 
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -169,11 +169,11 @@
     m_commitInFlight = true;
     if (!records.empty())
         return records;
-    commitDone(now);
+    commitDone();
     return std::nullopt;
 }
 
-void scheduler::commitDone(instant /*now*/)
+void scheduler::commitDone()
 {
     m_commitInFlight = false;
     m_storeFailedSince.reset();
