--- /dev/null
+++ b/src/libsched/agent_test.cpp
@@ -0,0 +1,148 @@
+#include "plantainpitch/sched/agent.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// An agent with a worker, an owner and a grant.
+struct granted_agent
+{
+    granted_agent()
+    {
+        info.id = "w";
+        info.startMs = 5;
+        info.service = "pool";
+        info.ready = true;
+        subject.workerAnnounced(info, 1'000, now);
+        sched::owner_hello hello;
+        hello.epoch = 3;
+        hello.termMs = 5'500;
+        BOOST_TEST(subject.ownerOpened(hello, now));
+        sched::agent_orders grant;
+        grant.grantedUs = now.time_since_epoch().count();
+        subject.onOrders(grant, now);
+        subject.takeCalls();
+    }
+
+    void orderStart(std::uint64_t workerStartMs)
+    {
+        sched::agent_orders orders;
+        orders.number = 1;
+        orders.workerStartMs = workerStartMs;
+        orders.starts.push_back(std::make_unique<sched::start_order>());
+        orders.starts.back()->task = "a.0.0.0";
+        orders.starts.back()->run = 1;
+        subject.onOrders(orders, now);
+    }
+
+    /// Reason of the only refusal in the next report; empty: none.
+    std::string refusal()
+    {
+        subject.tick(now);
+        for (const sched::agent_report &report : subject.takeReports()) {
+            if (!report.refused.empty())
+                return report.refused.front()->reason;
+        }
+        return {};
+    }
+
+    std::size_t starts()
+    {
+        std::size_t count = 0;
+        for (const sched::worker_call &call : subject.takeCalls())
+            count += call.kind == sched::worker_call_kind::start ? 1 : 0;
+        return count;
+    }
+
+    instant now{ milliseconds(1'000'000) };
+    sched::worker_info info;
+    sched::agent subject{ { .node = "n" } };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(agent)
+
+BOOST_AUTO_TEST_CASE(aDrainingWorkerGetsNoStart)
+{
+    granted_agent f;
+    f.info.ready = false;
+    f.subject.workerAnnounced(f.info, 1'100, f.now);
+    f.orderStart(5);
+    BOOST_TEST(f.starts() == 0U);
+    BOOST_TEST(f.refusal() == "draining");
+}
+
+BOOST_AUTO_TEST_CASE(ordersForAnEarlierIncarnationAreRefused)
+{
+    granted_agent f;
+    f.orderStart(4);
+    BOOST_TEST(f.starts() == 0U);
+    BOOST_TEST(f.refusal() == "worker_gone");
+}
+
+BOOST_AUTO_TEST_CASE(nothingStartsOnceTheGrantIsNearItsEnd)
+{
+    granted_agent f;
+    f.now += milliseconds(5'000);
+    f.orderStart(5);
+    BOOST_TEST(f.starts() == 0U);
+    BOOST_TEST(f.refusal() == "no_grant");
+}
+
+// Two owners that believe in themselves must not both give orders.
+BOOST_AUTO_TEST_CASE(anEarlierOwnerIsRefused)
+{
+    granted_agent f;
+    sched::owner_hello late;
+    late.epoch = 2;
+    BOOST_TEST(!f.subject.ownerOpened(late, f.now));
+}
+
+BOOST_AUTO_TEST_CASE(aLateAnnouncementOfAnEarlierIncarnationIsIgnored)
+{
+    granted_agent f;
+    sched::worker_info old = f.info;
+    old.startMs = 4;
+    BOOST_TEST(!f.subject.workerAnnounced(old, 1, f.now));
+    f.orderStart(5);
+    BOOST_TEST(f.starts() == 1U);
+}
+
+// The call may still be carried out seconds later; only the stop keeps it from starting then.
+BOOST_AUTO_TEST_CASE(aStartWithoutAnswerIsStoppedBeforeItCountsAsNotStarted)
+{
+    granted_agent f;
+    f.orderStart(5);
+    auto calls = f.subject.takeCalls();
+    BOOST_REQUIRE(calls.size() == 1U);
+    f.subject.onReply(calls[0], {}, f.now);
+    calls = f.subject.takeCalls();
+    BOOST_REQUIRE(calls.size() == 1U);
+    BOOST_TEST((calls[0].kind == sched::worker_call_kind::stop));
+    BOOST_TEST(f.refusal().empty());
+    sched::worker_reply accepted;
+    accepted.kind = sched::worker_reply_kind::accepted;
+    f.subject.onReply(calls[0], accepted, f.now);
+    BOOST_TEST(f.refusal().empty());
+    for (const sched::worker_call &call : f.subject.takeCalls()) {
+        sched::worker_reply listing = accepted;
+        listing.listing.emplace();
+        listing.listing->startMs = 5;
+        f.subject.onReply(call, listing, f.now);
+        f.subject.tick(f.now);
+    }
+    // A listing that was asked for before the stop's answer proves nothing; the next one does.
+    for (const sched::worker_call &call : f.subject.takeCalls()) {
+        sched::worker_reply listing = accepted;
+        listing.listing.emplace();
+        listing.listing->startMs = 5;
+        f.subject.onReply(call, listing, f.now);
+    }
+    BOOST_TEST(f.refusal() == "not_there");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
