--- a/src/libsched/gateway.cpp
+++ b/src/libsched/gateway.cpp
@@ -52,7 +52,7 @@
     answer.content = content;
     if (status == gateway_status::not_accepted)
         answer.retryAfterMs = content.retryAfterMs > 0 ? content.retryAfterMs : retryAfterMs;
-    m_answers.push_back(std::move(answer));
+    m_answers.push_back(answer);
 }
 
 void gateway::onAnswer(const client_answer &answer)
