--- a/src/include/plantainpitch/sched/task_name.h
+++ b/src/include/plantainpitch/sched/task_name.h
@@ -19,7 +19,7 @@
     /// Nothing if \a text is not a task name.
     static std::optional<task_name> parse(const std::string &text);
 
-    auto operator<=>(const task_name &) const = default;
+    auto operator<=>(const task_name &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace plantainpitch::sched
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -16,7 +16,7 @@
     std::string id;
     std::uint64_t startMs = 0; ///< wall clock at its start
 
-    auto operator<=>(const worker_key &) const = default;
+    auto operator<=>(const worker_key &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A run that holds resources of a worker until its end is proved.
