--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -243,7 +243,7 @@
     if (about)
         result.state = static_cast<std::uint8_t>(about->shown);
     auto &target = afterCommit ? m_staged.messages : m_messages;
-    target.push_back({ node, makeMessage(std::move(result)) });
+    target.push_back({ node, makeMessage(result) });
 }
 
 void scheduler::refuse(const std::string &node, const client_call &call, const char *reason,
@@ -260,7 +260,7 @@
     result.number = call.number;
     result.outcome = static_cast<std::uint8_t>(call_outcome::unavailable);
     result.retryAfterMs = static_cast<std::uint32_t>(retryMs);
-    m_messages.push_back({ node, makeMessage(std::move(result)) });
+    m_messages.push_back({ node, makeMessage(result) });
 }
 
 void scheduler::onCall(const std::string &node, const client_call &call, instant now,
@@ -289,7 +289,7 @@
         client_answer result;
         result.number = call.number;
         result.pending = pendingJobs(call.queue);
-        m_messages.push_back({ node, makeMessage(std::move(result)) });
+        m_messages.push_back({ node, makeMessage(result) });
         break;
     }
     }
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -243,7 +243,8 @@
     const step_spec &spec = target.stepSpec(step);
     const resources needed = reservation(spec);
     std::vector<worker *> result;
-    for (auto &[key, where] : m_workers) {
+    for (auto &[key, entry] : m_workers) {
+        worker *const where = entry.get(); // lambdas cannot capture the names of a binding
         if (!where->connected || !where->ready || !where->responsive
             || where->service != queue.service || where->avoidUntil > now
             || !needed.fits(where->room()) || !m_placement.admits(*where, spec))
@@ -255,12 +256,12 @@
         if (spec.maxPerVm > 0) {
             const auto &tasks = within.steps[step].tasks;
             const auto here = std::count_if(tasks.begin(), tasks.end(), [&](const task &each) {
-                return each.phase == task_phase::active && each.place == key;
+                return each.phase == task_phase::active && each.place == where->key;
             });
             if (here >= spec.maxPerVm)
                 continue;
         }
-        result.push_back(where.get());
+        result.push_back(where);
     }
     return result;
 }
