Learn losses of headroom by pair of images, and pace by them

Cause: the model learned mean latencies per image.

Starts carry the expected loss, and the agent slows those that disturb most first, by what is missing.

Ruled out: differences of successive samples (losses stayed between 2 and 5 for harmless pairs); regression without the own load (R2 below 0.3). Half of the serving reservations count as left over now, 30 percent before: filling work was refused for want of processors that nobody used.

--- a/cmake/install-packages.sh
+++ b/cmake/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
     g++ cmake ninja-build ccache clang clang-format clang-tidy libclang-rt-14-dev python3
     libboost1.81-dev libboost-test1.81-dev libboost-json1.81-dev libboost-system1.81-dev
-    libflatbuffers-dev libgflags-dev liblog4cplus-dev librapidcheck-dev
+    libeigen3-dev libflatbuffers-dev libgflags-dev liblog4cplus-dev librapidcheck-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "plantainpitch/fleet/member_dialer.h"
-#include "plantainpitch/policy/learned_interference.h"
 #include "plantainpitch/runtime/clock.h"
 #include "plantainpitch/runtime/event_log.h"
 #include "plantainpitch/sched/partition_store.h"
@@ -63,8 +62,8 @@
     const runtime::clock &m_time;
     runtime::event_log &m_log;
     const owner_process_options m_options;
-    learned_interference m_interference;
-    sched::isolating_placement m_placement{ m_interference };
+    sched::disturbance_model m_disturbances;
+    sched::isolating_placement m_placement{ m_disturbances };
     sched::worth_order m_order;
     std::optional<sched::fleet_config> m_config;
     sched::config_document m_document;
--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -69,6 +69,7 @@
         run_phase phase = run_phase::starting;
         std::uint32_t targetMs = 0;
         bool fills = false;
+        double disturbance = 0; ///< headroom that serving tasks lose by it
         bool stopOnItsWay = false;
         instant nextStop{};
         /// Listings that were asked for before this one do not prove the absence of the run.
@@ -88,7 +89,7 @@
     void onHoldReply(const worker_call &call, const worker_reply &reply, instant now);
     void onListing(const worker_listing &listing, std::uint64_t holdNumber, instant now);
     void onUnreachable(const worker_reply &reply, instant now);
-    void pace();
+    void pace(instant now);
     void hold(instant now);
     void report(instant now);
     [[nodiscard]] std::int64_t leaseUntil(instant now);
--- a/src/include/plantainpitch/sched/placement_policy.h
+++ b/src/include/plantainpitch/sched/placement_policy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plantainpitch/policy/interference_model.h"
+#include "plantainpitch/sched/disturbance_model.h"
 #include "plantainpitch/sched/job.h"
 #include "plantainpitch/sched/worker.h"
 
@@ -8,6 +8,9 @@
 
 namespace plantainpitch::sched {
 
+/// Headroom that the serving tasks on \a where lose at most by one task of the step beside them.
+double disturbance(const disturbance_model &model, const worker &where, const step_spec &step);
+
 /// Chooses where a task runs.
 class placement_policy
 {
@@ -45,8 +48,8 @@
 class isolating_placement : public placement_policy
 {
 public:
-    /// \a model knows serving and filling tasks by their images; it must outlive this object.
-    explicit isolating_placement(const interference_model &model)
+    /// \a model must outlive this object.
+    explicit isolating_placement(const disturbance_model &model)
         : m_model(model)
     {}
 
@@ -55,11 +58,10 @@
                                  const task &previous) const override;
 
 private:
-    [[nodiscard]] double disturbance(const worker &where, const std::string &image) const;
-    [[nodiscard]] double latencyWith(const worker &where, const std::string &image) const;
+    [[nodiscard]] double headroomWith(const worker &where, const step_spec &step) const;
     [[nodiscard]] double cost(const worker &candidate, const step_spec &step) const;
 
-    const interference_model &m_model;
+    const disturbance_model &m_model;
 };
 
 } // namespace plantainpitch::sched
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -54,9 +54,9 @@
 class scheduler
 {
 public:
-    /// The policies must outlive the scheduler. \a interference learns from the agents' reports.
+    /// The policies must outlive the scheduler. \a disturbances learns from the agents' reports.
     scheduler(const scheduler_options &options, const placement_policy &placement,
-              const waiting_order &order, interference_model &interference);
+              const waiting_order &order, disturbance_model &disturbances);
 
     /// Loads a record that an earlier owner stored. Throws error(protocol_error).
     void load(const stored_record &record);
@@ -155,8 +155,9 @@
     // scheduler_workers.cpp
     worker &workerAt(const std::string &node, const worker_info &info, instant now);
     void reconcile(worker &where, const agent_report &report);
-    void learnInterference(worker &where, const agent_report &report);
+    void learnDisturbances(worker &where, const agent_report &report, instant now);
     void describe(worker &where, const std::vector<std::string> &names);
+    void describeFilling(worker &where);
     void grant(const std::string &node, worker *where, const agent_report &report, instant now);
     [[nodiscard]] bool hasMajority() const;
     void dropLostWorkers(instant now);
@@ -168,7 +169,7 @@
     const scheduler_options m_options;
     const placement_policy &m_placement;
     const waiting_order &m_order;
-    interference_model &m_interference;
+    disturbance_model &m_disturbances;
     fleet_config m_config;
     std::map<std::string, double> m_meanWork; ///< of recent jobs by queue, core-milliseconds
     std::map<std::string, queue_config> m_formerQueues; ///< of queues that were removed
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -32,6 +32,16 @@
     std::uint64_t orderNumber = 0;
 };
 
+/// Headroom of one job's serving tasks on a worker at its last report.
+struct serving_headroom
+{
+    std::string job;
+    std::string image;
+    double headroom = 0; ///< latency target / latency
+
+    bool operator==(const serving_headroom &) const = default;
+};
+
 /// What the owner knows of one incarnation of a worker.
 struct worker
 {
@@ -47,10 +57,9 @@
     std::uint32_t serving = 0; ///< runs that have a latency target
     std::int64_t servingCpu = 0; ///< what they reserve
     std::map<std::string, std::uint32_t> servingImages; ///< runs by image
-    std::map<std::string, std::uint32_t> fillingImages; ///< runs by image
-    /// Worst latency of the serving runs at the last report, in shares of the target; 0: unknown.
-    double reportedLatency = 0;
-    std::map<std::string, std::uint32_t> filledSinceReport; ///< runs by image
+    std::vector<serving_headroom> headrooms; ///< at the last report
+    /// Processors of the filling runs ordered since the last report, by image.
+    std::map<std::string, std::int64_t> filledSinceReport;
     bool ready = false; ///< not draining
     bool responsive = false;
     bool connected = false; ///< the agent is connected and its runs are known
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -124,7 +124,7 @@
 {
     sched::scheduler_options options;
     options.epoch = current->epoch;
-    current->scheduler.emplace(options, m_placement, m_order, m_interference);
+    current->scheduler.emplace(options, m_placement, m_order, m_disturbances);
     for (const sched::stored_record &record : records) {
         try {
             current->scheduler->load(record);
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -137,6 +137,7 @@
             continue;
         found->second.targetMs = description->targetMs;
         found->second.fills = description->fills;
+        found->second.disturbance = description->disturbance;
     }
     for (const auto &stop : orders.stops) {
         if (current)
@@ -177,6 +178,7 @@
     run_state state;
     state.targetMs = order.targetMs;
     state.fills = order.fills;
+    state.disturbance = order.disturbance;
     state.checkpoint = order.checkpoint;
     m_runs[key] = state;
     worker_call start = call(worker_call_kind::start);
@@ -398,19 +400,23 @@
     }
     for (const run_key &key : absent)
         refuse(key, "not_there");
-    pace();
+    pace(now);
 }
 
-void agent::pace()
+void agent::pace(instant now)
 {
     std::vector<paced_task> tasks;
     for (const auto &[key, state] : m_runs) {
         if (state.phase != run_phase::running)
             continue;
         if (state.targetMs > 0 || state.fills)
-            tasks.push_back({ key.first, state.fills, state.targetMs, state.usage });
+            tasks.push_back({ .task = key.first,
+                              .fills = state.fills,
+                              .disturbance = state.disturbance,
+                              .targetMs = state.targetMs,
+                              .usage = state.usage });
     }
-    const auto changes = m_pacing.measure(tasks);
+    const auto changes = m_pacing.measure(tasks, now);
     for (const auto &[key, state] : m_runs) {
         const auto change = changes.find(key.first);
         if (change == changes.end() || !state.fills)
@@ -444,7 +450,6 @@
     content.ordersSeen = m_ordersSeen;
     content.responsive = m_responsive;
     content.lapsed = m_lapsed;
-    content.fillingPercent = m_pacing.percent();
     if (m_worker && !m_workerReported) {
         content.worker = std::make_unique<worker_info>(*m_worker);
         m_workerReported = true;
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "fake_fleet_worker.h"
-#include "plantainpitch/policy/learned_interference.h"
 #include "plantainpitch/sched/agent.h"
 #include "plantainpitch/sched/scheduler.h"
 
@@ -76,7 +75,7 @@
         ++epoch;
         for (node &each : nodes)
             closeLink(each);
-        owner.emplace(sched::scheduler_options{ .epoch = epoch }, placement, order, interference);
+        owner.emplace(sched::scheduler_options{ .epoch = epoch }, placement, order, disturbances);
         for (const auto &[key, value] : stored)
             owner->load({ key, value });
         owner->setConfig(config);
@@ -155,8 +154,8 @@
     std::int64_t timeMs = 1'000'000;
     std::mt19937_64 random;
     sched::fleet_config config;
-    learned_interference interference;
-    sched::isolating_placement placement{ interference };
+    sched::disturbance_model disturbances;
+    sched::isolating_placement placement{ disturbances };
     sched::worth_order order;
     std::optional<sched::scheduler> owner;
     std::uint64_t epoch = 0;
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -1,6 +1,8 @@
 #include "plantainpitch/sched/placement_policy.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 
 namespace plantainpitch::sched {
 
@@ -13,48 +15,71 @@
 /// A serving task on a VM without others would make that VM useless to filling ones.
 constexpr double newServingVmPenalty = 2.0;
 
+/// A VM that serves another image disturbs fewer filling images than a new one would.
+constexpr double otherImagePenalty = 1.0;
 constexpr double besideServingPenalty = 2.0;
-/// Share of a latency target that serving tasks may be expected to reach; the rest is for waves.
-constexpr double latencyGoal = 0.6;
-/// An image that adds less than this share of a target does not count as disturbing.
-constexpr double harmless = 0.03;
+
+/// Headroom that has to be left beside a task that disturbs, and beside one that hardly does.
+constexpr double goalBesideDisturbing = 1.25;
+constexpr double goalBesideHarmless = 1.1;
+/// Less headroom than this is lost by a task that hardly disturbs.
+constexpr double harmless = 0.15;
+/// Assumed of serving tasks that have not reported yet.
+constexpr double unreportedHeadroom = 3;
+/// How far the present trend of the headroom is followed, at most.
+constexpr double longestOutlookSeconds = 2.5;
+
+/// Part of the VM's processors, which are never none.
+double shareOf(const worker &where, std::int64_t cpu)
+{
+    return static_cast<double>(cpu)
+           / static_cast<double>(std::max<std::int64_t>(where.capacity.cpu, 1));
+}
 
 double reservedShare(const worker &candidate)
 {
-    const auto capacity = std::max<std::int64_t>(candidate.capacity.cpu, 1);
-    return static_cast<double>(candidate.used.cpu) / static_cast<double>(capacity);
+    return shareOf(candidate, candidate.used.cpu);
 }
 
 double fillingShare(const worker &candidate)
 {
-    const auto capacity = std::max<std::int64_t>(candidate.capacity.cpu, 1);
-    return static_cast<double>(candidate.fillingCpu) / static_cast<double>(capacity);
+    return shareOf(candidate, candidate.fillingCpu);
 }
 
 } // namespace
 
-/// What one more task of the image adds to the worst latency there, in shares of the target.
-double isolating_placement::disturbance(const worker &where, const std::string &image) const
+double disturbance(const disturbance_model &model, const worker &where, const step_spec &step)
 {
+    const double share = shareOf(where, step.cpu);
     double worst = 0;
     for (const auto &[serving, count] : where.servingImages)
-        worst = std::max(worst, m_model.added(serving, 0, { { image, 1 } }));
+        worst = std::max(worst, share * model.loss(serving, imageOf(step)));
     return worst;
 }
 
-/// The worst expected latency of the serving tasks there with one more task of the image. Their own
-/// load moves it more than most images do, so the last measurement is a better base than the mean.
-double isolating_placement::latencyWith(const worker &where, const std::string &image) const
+/// The least headroom that the serving tasks there are expected to have beside one more task of the
+/// step while it runs.
+double isolating_placement::headroomWith(const worker &where, const step_spec &step) const
 {
-    const bool measured = where.reportedLatency > 0;
-    auto filling = measured ? where.filledSinceReport : where.fillingImages;
-    ++filling[image];
-    double worst = 0;
+    const auto lossOf = [&](const std::string &serving) {
+        double lost = shareOf(where, step.cpu) * m_model.loss(serving, imageOf(step));
+        for (const auto &[image, cpu] : where.filledSinceReport)
+            lost += shareOf(where, cpu) * m_model.loss(serving, image);
+        return lost;
+    };
+    const double outlook = std::min(longestOutlookSeconds, step.estimateMs / 1000.0);
+    double least = std::numeric_limits<double>::infinity();
+    std::set<std::string> reported;
+    for (const serving_headroom &each : where.headrooms) {
+        reported.insert(each.image);
+        const double falling = std::min(0.0, m_model.trend(each.image, each.job)) * outlook;
+        least = std::min(least, each.headroom + falling - lossOf(each.image));
+    }
     for (const auto &[serving, count] : where.servingImages) {
-        const double base = measured ? where.reportedLatency : m_model.alone(serving, 0);
-        worst = std::max(worst, base + m_model.added(serving, 0, filling));
+        if (reported.count(serving) == 0)
+            least = std::min(least, unreportedHeadroom - lossOf(serving));
     }
-    return worst;
+    return least;
 }
 
 double isolating_placement::cost(const worker &candidate, const step_spec &step) const
@@ -62,17 +87,20 @@
     if (step.fills && candidate.serving == 0)
         return reservedShare(candidate) + fillingShare(candidate);
     if (step.fills) {
-        const double disturbs = disturbance(candidate, imageOf(step));
         // VMs without serving tasks are left to images that disturb.
-        return disturbs < harmless ? fillingShare(candidate) - 1
-                                   : besideServingPenalty + latencyWith(candidate, imageOf(step));
+        return disturbance(m_model, candidate, step) < harmless
+                       ? fillingShare(candidate) - 1
+                       : besideServingPenalty - std::min(1.0, headroomWith(candidate, step) / 4);
     }
     if (step.targetMs == 0) // takes processors that no filling task could use
         return candidate.serving > 0 ? reservedShare(candidate)
                                      : 1 + reservedShare(candidate) + fillingShare(candidate);
-    // The fullest VM that serves already, else the one where the fewest filling tasks run.
-    return candidate.serving > 0 ? 1 - reservedShare(candidate)
-                                 : newServingVmPenalty + fillingShare(candidate);
+    // The fullest VM that serves the image already, then one that serves others, else the one where
+    // the fewest filling tasks run.
+    if (candidate.serving == 0)
+        return newServingVmPenalty + fillingShare(candidate);
+    const bool sameImage = candidate.servingImages.count(imageOf(step)) > 0;
+    return (sameImage ? 0 : otherImagePenalty) - reservedShare(candidate);
 }
 
 bool isolating_placement::admits(const worker &candidate, const step_spec &step) const
@@ -81,7 +109,10 @@
         return true;
     if (candidate.leftOverCpu() < static_cast<std::int64_t>(step.cpu))
         return false;
-    return candidate.serving == 0 || latencyWith(candidate, imageOf(step)) <= latencyGoal;
+    if (candidate.serving == 0)
+        return true;
+    const bool disturbs = disturbance(m_model, candidate, step) >= harmless;
+    return headroomWith(candidate, step) >= (disturbs ? goalBesideDisturbing : goalBesideHarmless);
 }
 
 worker *isolating_placement::choose(const std::vector<worker *> &candidates, const step_spec &step,
--- a/src/libsched/pacing.cpp
+++ b/src/libsched/pacing.cpp
@@ -1,47 +1,116 @@
 #include "plantainpitch/sched/pacing.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace plantainpitch::sched {
 
 namespace {
 
-// Shares of the target. The gap between them keeps the percentage from swinging.
-constexpr double slowAbove = 0.95;
-constexpr double speedUpBelow = 0.8;
-constexpr std::uint32_t stepUp = 20;
+// Headroom is latency target / latency. The gap between the bounds keeps paces from swinging.
+constexpr double slowDownBelow = 1.08;
+constexpr double speedUpAbove = 1.2;
+/// Assumed of tasks whose disturbance is not known, and of those that disturb less: slowing them
+/// down has to have some effect in the end.
+constexpr double leastDisturbance = 0.02;
+/// Over the target, more than the expected excess is taken away: the estimates may be too low.
+constexpr double overTargetFactor = 2;
+constexpr std::uint32_t fullPace = 100;
 /// Below this a task makes no progress worth its disturbance.
-constexpr std::uint32_t smallest = 10;
+constexpr std::uint32_t smallestPace = 10;
+/// A change shows in the figures only after that: each covers the last half second, and a new pace
+/// begins with a delay.
+constexpr std::chrono::milliseconds settleTime{ 600 };
 
-} // namespace
+double disturbanceOf(const paced_task &task)
+{
+    return std::max(task.disturbance, leastDisturbance);
+}
 
-std::map<std::string, std::uint32_t> pacing::measure(const std::vector<paced_task> &tasks)
+/// The headroom of the worst serving task; infinite if none has a figure.
+double leastHeadroom(const std::vector<paced_task> &tasks)
 {
-    double worst = 0;
+    double least = std::numeric_limits<double>::infinity();
     for (const paced_task &each : tasks) {
-        if (each.targetMs > 0)
-            worst = std::max(worst, static_cast<double>(each.usage) / each.targetMs);
+        if (each.targetMs > 0 && each.usage > 0)
+            least = std::min(least, static_cast<double>(each.targetMs) / each.usage);
     }
-    if (worst > 1)
-        m_percent = m_percent > 2 * smallest ? m_percent / 4 : 0;
-    else if (worst > slowAbove)
-        m_percent = m_percent > smallest ? m_percent / 2 : 0;
-    else if (worst < speedUpBelow)
-        m_percent = std::min<std::uint32_t>(100, m_percent + stepUp);
-
-    std::map<std::string, std::uint32_t> present;
-    std::map<std::string, std::uint32_t> changes;
+    return least;
+}
+
+} // namespace
+
+std::uint32_t pacing::percentOf(const std::string &task) const
+{
+    const auto found = m_percent.find(task);
+    return found == m_percent.end() ? fullPace : found->second;
+}
+
+std::map<std::string, std::uint32_t> pacing::measure(const std::vector<paced_task> &tasks,
+                                                     instant now)
+{
+    std::vector<const paced_task *> filling;
+    std::map<std::string, std::uint32_t> before;
     for (const paced_task &each : tasks) {
         if (!each.fills)
             continue;
-        const auto applied = m_applied.find(each.task);
-        const std::uint32_t before = applied == m_applied.end() ? 100 : applied->second;
-        if (before != m_percent)
-            changes[each.task] = m_percent;
-        present[each.task] = m_percent;
+        filling.push_back(&each);
+        before[each.task] = percentOf(each.task);
     }
-    m_applied = std::move(present);
+    m_percent = before;
+    if (now - m_changedAt < settleTime)
+        return {};
+    std::stable_sort(filling.begin(), filling.end(),
+                     [](const auto *a, const auto *b) { return a->disturbance > b->disturbance; });
+    const double headroom = leastHeadroom(tasks);
+    if (headroom < slowDownBelow)
+        slowDown(filling, headroom);
+    else
+        speedUp(filling, headroom);
+
+    std::map<std::string, std::uint32_t> changes;
+    for (const auto &[task, percent] : m_percent) {
+        if (percent != before[task])
+            changes[task] = percent;
+    }
+    if (!changes.empty())
+        m_changedAt = now;
     return changes;
 }
 
+void pacing::slowDown(std::vector<const paced_task *> &filling, double headroom)
+{
+    double missing = slowDownBelow - headroom;
+    if (headroom < 1)
+        missing *= overTargetFactor;
+    for (const paced_task *each : filling) {
+        if (missing <= 0)
+            return;
+        std::uint32_t &percent = m_percent[each->task];
+        const double perPercent = disturbanceOf(*each) / fullPace;
+        const auto needed = static_cast<std::uint32_t>(
+                std::min<double>(percent, std::ceil(missing / perPercent)));
+        missing -= needed * perPercent;
+        percent -= needed;
+        if (percent < smallestPace)
+            percent = 0;
+    }
+}
+
+void pacing::speedUp(std::vector<const paced_task *> &filling, double headroom)
+{
+    double spare = headroom - speedUpAbove;
+    for (auto each = filling.rbegin(); each != filling.rend() && spare > 0; ++each) {
+        std::uint32_t &percent = m_percent[(*each)->task];
+        const double perPercent = disturbanceOf(**each) / fullPace;
+        const auto possible = static_cast<std::uint32_t>(
+                std::min<double>(fullPace - percent, spare / perPercent));
+        if (percent + possible < smallestPace)
+            continue;
+        percent += possible;
+        spare -= possible * perPercent;
+    }
+}
+
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -17,11 +17,11 @@
 } // namespace
 
 scheduler::scheduler(const scheduler_options &options, const placement_policy &placement,
-                     const waiting_order &order, interference_model &interference)
+                     const waiting_order &order, disturbance_model &disturbances)
     : m_options(options)
     , m_placement(placement)
     , m_order(order)
-    , m_interference(interference)
+    , m_disturbances(disturbances)
 {}
 
 void scheduler::load(const stored_record &record)
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -294,7 +294,11 @@
     order->checkpoint = item.checkpoint;
     order->targetMs = spec.targetMs;
     order->fills = spec.fills;
+    if (spec.fills)
+        order->disturbance = static_cast<float>(disturbance(m_disturbances, where, spec));
     orders.starts.push_back(std::move(order));
+    if (spec.targetMs > 0)
+        describeFilling(where);
     log(log_level::info, "run_ordered",
         { { "task", name },
           { "run", std::to_string(run) },
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -241,7 +241,7 @@
         fleet_model model(2);
         sched::deadline_order unused;
         model.owner.emplace(sched::scheduler_options{ .epoch = ++model.epoch }, model.placement,
-                            order, model.interference);
+                            order, model.disturbances);
         model.owner->setConfig(model.config);
         model.owner->finishLoading(model.now(), 0);
         model.run(1'000);
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -1,6 +1,7 @@
 #include "plantainpitch/sched/scheduler.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace plantainpitch::sched {
 
@@ -115,35 +116,64 @@
         description->run = place.item->run;
         description->targetMs = spec.targetMs;
         description->fills = spec.fills;
+        description->disturbance = static_cast<float>(disturbance(m_disturbances, where, spec));
         ordersFor(where).describes.push_back(std::move(description));
     }
 }
 
-void scheduler::learnInterference(worker &where, const agent_report &report)
+/// Tells the agent how much the filling runs there disturb, after another image has begun to serve.
+void scheduler::describeFilling(worker &where)
 {
-    interference_model::observation seen;
-    seen.batchShare = report.fillingPercent / 100.0;
-    std::vector<std::pair<std::string, double>> latencies;
+    std::vector<std::string> filling;
+    for (const auto &[name, held] : where.runs) {
+        if (held.fillingCpu > 0)
+            filling.push_back(name);
+    }
+    describe(where, filling);
+}
+
+void scheduler::learnDisturbances(worker &where, const agent_report &report, instant now)
+{
+    headroom_sample sample;
+    sample.at = now;
+    struct job_figures
+    {
+        std::string image;
+        double sum = 0;
+        double least = std::numeric_limits<double>::infinity();
+        std::uint32_t tasks = 0;
+    };
+    std::map<std::string, job_figures> byJob;
     for (const auto &each : report.running) {
         const auto held = where.runs.find(each->task);
-        if (held == where.runs.end() || held->second.run != each->run)
-            continue;
-        if (held->second.fillingCpu > 0)
-            ++seen.batch[held->second.image];
         const task_place place = find(each->task);
-        if (!held->second.serves || !place.item || each->usage == 0)
+        if (held == where.runs.end() || held->second.run != each->run || !place.item)
+            continue;
+        if (held->second.fillingCpu > 0) {
+            sample.filling[held->second.image] +=
+                    static_cast<double>(each->usage)
+                    / static_cast<double>(std::max<std::int64_t>(where.capacity.cpu, 1));
+        }
+        if (!held->second.serves || each->usage == 0)
             continue;
-        const step_spec &step = place.owner->stepSpec(task_name::parse(each->task)->step);
-        latencies.emplace_back(held->second.image,
-                               static_cast<double>(each->usage) / step.targetMs);
+        const std::uint32_t targetMs =
+                place.owner->stepSpec(task_name::parse(each->task)->step).targetMs;
+        const double headroom = static_cast<double>(targetMs) / each->usage;
+        job_figures &figures = byJob[place.owner->request.id];
+        figures.image = held->second.image;
+        figures.sum += headroom;
+        figures.least = std::min(figures.least, headroom);
+        ++figures.tasks;
     }
-    where.reportedLatency = 0;
+    where.headrooms.clear();
     where.filledSinceReport.clear();
-    for (const auto &[image, ratio] : latencies) {
-        where.reportedLatency = std::max(where.reportedLatency, ratio);
-        seen.service = image;
-        seen.latencyRatio = ratio;
-        m_interference.observe(seen);
+    for (const auto &[job, figures] : byJob) {
+        where.headrooms.push_back(
+                { .job = job, .image = figures.image, .headroom = figures.least });
+        sample.job = job;
+        sample.image = figures.image;
+        sample.headroom = figures.sum / figures.tasks;
+        m_disturbances.observe(sample);
     }
 }
 
@@ -215,7 +245,7 @@
     if (report.complete) {
         where.connected = true;
         reconcile(where, report);
-        learnInterference(where, report);
+        learnDisturbances(where, report, now);
     }
     grant(node, &where, report, now);
 }
--- a/src/libsched/worker.cpp
+++ b/src/libsched/worker.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 /// Share of their reservation that serving tasks use outside their peaks.
-constexpr double servingUse = 0.7;
+constexpr double servingUse = 0.5;
 
 void countImage(std::map<std::string, std::uint32_t> &images, const std::string &image, bool added)
 {
@@ -19,8 +19,6 @@
 {
     if (run.serves)
         countImage(where.servingImages, run.image, added);
-    if (run.fillingCpu > 0)
-        countImage(where.fillingImages, run.image, added);
 }
 
 } // namespace
@@ -44,7 +42,7 @@
     servingCpu += amount.serves ? amount.amount.cpu : 0;
     countImages(*this, amount, true);
     if (amount.fillingCpu > 0)
-        ++filledSinceReport[amount.image];
+        filledSinceReport[amount.image] += amount.fillingCpu;
 }
 
 bool worker::release(const std::string &name, std::uint32_t run)
