Place starved jobs at any headroom while the queue is short

A job of which nothing has run for 1.5 s now gets one task started where the loss is least; the agent paces it.

Ruled out: doing so at any length of the queue.

Test: aStarvedFillingJobRunsBesideServingTasksWithoutHeadroom.

--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -50,6 +50,7 @@
     bool started = false; ///< some task was started
     instant received{};
     instant objective{}; ///< full credit ends
+    instant lastActive{}; ///< last pass at which a task was active; at first, the reception
 
     /// What the store has acknowledged; the only thing clients are shown.
     job_state shown = job_state::queued;
--- a/src/include/plantainpitch/sched/placement_policy.h
+++ b/src/include/plantainpitch/sched/placement_policy.h
@@ -17,8 +17,10 @@
 public:
     virtual ~placement_policy() = default;
 
-    /// Whether a task of the step may run there beside what does, if it has room for it.
-    [[nodiscard]] virtual bool admits(const worker &candidate, const step_spec &step) const = 0;
+    /// Whether a task of the step may run there beside what does, if it has room for it. \a
+    /// starved: nothing of its job has run for a while.
+    [[nodiscard]] virtual bool admits(const worker &candidate, const step_spec &step,
+                                      bool starved) const = 0;
 
     /// One of \a candidates, which all have room and may run the step; nullptr if waiting is
     /// better. \a previous is the place of the task's last run, which may have failed.
@@ -31,8 +33,8 @@
 class spread_placement : public placement_policy
 {
 public:
-    [[nodiscard]] bool admits(const worker & /*candidate*/,
-                              const step_spec & /*step*/) const override
+    [[nodiscard]] bool admits(const worker & /*candidate*/, const step_spec & /*step*/,
+                              bool /*starved*/) const override
     {
         return true;
     }
@@ -42,9 +44,10 @@
 
 /// Gives tasks that fill no more processors than are left over, and puts them beside serving tasks
 /// only where those are expected to stay within their targets; images that hardly disturb go there
-/// first. Serving tasks share as few VMs as their steps allow. Answers a load in which filling work
-/// would use every VM: it disturbs serving tasks everywhere, is paced down everywhere, and neither
-/// is done in time.
+/// first. A starved job gets a place at any headroom: the agent paces its task to what there is.
+/// Serving tasks share as few VMs as their steps allow. Answers a load in which filling work would
+/// use every VM: it disturbs serving tasks everywhere, is paced down everywhere, and neither is
+/// done in time.
 class isolating_placement : public placement_policy
 {
 public:
@@ -53,7 +56,8 @@
         : m_model(model)
     {}
 
-    [[nodiscard]] bool admits(const worker &candidate, const step_spec &step) const override;
+    [[nodiscard]] bool admits(const worker &candidate, const step_spec &step,
+                              bool starved) const override;
     [[nodiscard]] worker *choose(const std::vector<worker *> &candidates, const step_spec &step,
                                  const task &previous) const override;
 
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -143,13 +143,14 @@
     void orderStop(worker &where, const std::string &name, std::uint32_t run);
     void loseRuns(worker &where, const char *reason);
     void schedulePass(instant now);
+    void placeSteps(job &target, const queue_config &queue, bool starved, instant now);
     void placeStep(job &target, const queue_config &queue, occurrence &within, std::uint32_t step,
-                   instant now);
+                   bool starved, instant now);
     void start(job &target, occurrence &within, std::uint32_t step, std::uint32_t index,
                worker &where, std::uint32_t run, instant now);
     [[nodiscard]] std::vector<worker *> candidates(const job &target, const queue_config &queue,
                                                    const occurrence &within, std::uint32_t step,
-                                                   instant now);
+                                                   bool starved, instant now);
     agent_orders &ordersFor(worker &where);
 
     // scheduler_workers.cpp
--- a/src/libsched/fake_fleet_worker.h
+++ b/src/libsched/fake_fleet_worker.h
@@ -25,6 +25,7 @@
     sched::worker_info info;
     bool up = true;
     bool failsAll = false;
+    std::uint32_t usage = 0; ///< that all tasks report
     std::int64_t clockMs = 1'000;
     std::int64_t leaseUntilMs = 0;
     std::uint64_t fence = 0;
@@ -149,6 +150,7 @@
             status.task = task;
             status.run = state.run;
             status.percent = 100;
+            status.usage = usage;
             reply.listing->running.push_back(status);
         }
     }
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -103,13 +103,13 @@
     return (sameImage ? 0 : otherImagePenalty) - reservedShare(candidate);
 }
 
-bool isolating_placement::admits(const worker &candidate, const step_spec &step) const
+bool isolating_placement::admits(const worker &candidate, const step_spec &step, bool starved) const
 {
     if (!step.fills)
         return true;
     if (candidate.leftOverCpu() < static_cast<std::int64_t>(step.cpu))
         return false;
-    if (candidate.serving == 0)
+    if (starved || candidate.serving == 0)
         return true;
     const bool disturbs = disturbance(m_model, candidate, step) >= harmless;
     return headroomWith(candidate, step) >= (disturbs ? goalBesideDisturbing : goalBesideHarmless);
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -49,6 +49,7 @@
         const auto age = std::chrono::milliseconds(
                 std::max<std::int64_t>(0, wallMs - target.request.receivedMs));
         target.received = now - age;
+        target.lastActive = now;
         const auto stored = m_loadedProgress.find(id);
         if (stored != m_loadedProgress.end())
             applyProgress(target, stored->second);
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -55,6 +55,7 @@
     target.request = std::move(request);
     target.request.receivedMs = wallMs;
     target.received = now;
+    target.lastActive = now;
     if (const queue_config *queue = queueOf(target)) {
         const double chain = queue->stretch * static_cast<double>(target.longestChainMs());
         target.objective = now
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -13,6 +13,12 @@
 constexpr std::chrono::milliseconds refusalPause{ 100 };
 /// A worker that refuses starts for want of room is left alone for a while.
 constexpr std::chrono::milliseconds refusingWorkerPause{ 500 };
+/// A job of which nothing has run for that long, though its turn has come, is starved: work that
+/// stands still for three seconds beside free room counts as lost.
+constexpr std::chrono::milliseconds starvedAfter{ 1'500 };
+/// Jobs for each worker up to which the queue counts as short. In a longer one, room for starved
+/// jobs would only be taken from those that can still be in time.
+constexpr double shortQueue = 0.5;
 /// Jobs that are considered in one pass; bounds the time that a pass takes.
 constexpr std::size_t maxJobsPerPass = 400;
 
@@ -34,6 +40,14 @@
     return count;
 }
 
+bool isActive(const job &target)
+{
+    return std::any_of(target.occurrences.begin(), target.occurrences.end(), [](const auto &each) {
+        return std::any_of(each.steps.begin(), each.steps.end(),
+                           [](const step_run &step) { return step.active > 0; });
+    });
+}
+
 /// Reduces \a workers to those that can hold a whole gang, of one rack if the step asks for it.
 /// Returns false if the gang does not fit.
 bool keepWorkersForGang(std::vector<worker *> &workers, const step_spec &step)
@@ -238,7 +252,7 @@
 
 std::vector<worker *> scheduler::candidates(const job &target, const queue_config &queue,
                                             const occurrence &within, std::uint32_t step,
-                                            instant now)
+                                            bool starved, instant now)
 {
     const step_spec &spec = target.stepSpec(step);
     const resources needed = reservation(spec);
@@ -247,7 +261,7 @@
         worker *const where = entry.get(); // lambdas cannot capture the names of a binding
         if (!where->connected || !where->ready || !where->responsive
             || where->service != queue.service || where->avoidUntil > now
-            || !needed.fits(where->room()) || !m_placement.admits(*where, spec))
+            || !needed.fits(where->room()) || !m_placement.admits(*where, spec, starved))
             continue;
         const auto &labels = where->labels;
         if (!spec.requiredLabel.empty()
@@ -307,13 +321,13 @@
 }
 
 void scheduler::placeStep(job &target, const queue_config &queue, occurrence &within,
-                          std::uint32_t step, instant now)
+                          std::uint32_t step, bool starved, instant now)
 {
     auto &tasks = within.steps[step].tasks;
     const bool gang = target.stepSpec(step).gang;
     if (gang && within.steps[step].waiting != tasks.size())
         return; // members of the last run have not all ended
-    std::vector<worker *> usable = candidates(target, queue, within, step, now);
+    std::vector<worker *> usable = candidates(target, queue, within, step, starved, now);
     if (gang && !keepWorkersForGang(usable, target.stepSpec(step)))
         return;
     std::uint32_t gangRun = 0;
@@ -328,9 +342,12 @@
         if (!where)
             return;
         start(target, within, step, index, *where, gang ? gangRun : item.run + 1, now);
+        if (starved && !gang)
+            return;
         if (target.stepSpec(step).maxPerVm > 0)
-            usable = candidates(target, queue, within, step, now);
-        else if (!needed.fits(where->room()) || !m_placement.admits(*where, target.stepSpec(step)))
+            usable = candidates(target, queue, within, step, starved, now);
+        else if (!needed.fits(where->room())
+                 || !m_placement.admits(*where, target.stepSpec(step), starved))
             usable.erase(std::remove(usable.begin(), usable.end(), where), usable.end());
     }
 }
@@ -364,12 +381,25 @@
               [](const ranked &a, const ranked &b) { return a.rank < b.rank; });
     if (waiting.size() > maxJobsPerPass)
         waiting.resize(maxJobsPerPass);
+    for (const ranked &entry : waiting)
+        placeSteps(*entry.target, *entry.queue, false, now);
+    const bool helpStarved = static_cast<double>(waiting.size())
+                             <= shortQueue * static_cast<double>(m_workers.size());
     for (const ranked &entry : waiting) {
-        for (occurrence &within : entry.target->occurrences) {
-            for (std::uint32_t step = 0; step < within.steps.size(); ++step) {
-                if (within.steps[step].waiting > 0 && entry.target->unlocked(within, step))
-                    placeStep(*entry.target, *entry.queue, within, step, now);
-            }
+        job &target = *entry.target;
+        if (isActive(target))
+            target.lastActive = now;
+        if (helpStarved && now - target.lastActive >= starvedAfter)
+            placeSteps(target, *entry.queue, true, now);
+    }
+}
+
+void scheduler::placeSteps(job &target, const queue_config &queue, bool starved, instant now)
+{
+    for (occurrence &within : target.occurrences) {
+        for (std::uint32_t step = 0; step < within.steps.size(); ++step) {
+            if (within.steps[step].waiting > 0 && target.unlocked(within, step))
+                placeStep(target, queue, within, step, starved, now);
         }
     }
 }
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -211,6 +211,35 @@
     BOOST_TEST(model.runUntil("f", job_state::completed, 6'000));
 }
 
+// Hunted days of fsd-huelga ended with filling jobs of which nothing ran, although most of the room
+// was free: every VM had a serving task without headroom for them.
+BOOST_AUTO_TEST_CASE(aStarvedFillingJobRunsBesideServingTasksWithoutHeadroom)
+{
+    fleet_model model(2);
+    for (auto &each : model.nodes)
+        each.worker.usage = 48; // ms, of a target of 50
+    model.run(1'000);
+    auto serving = model.submission("s", 2, 500);
+    serving.submitted->spec->steps[0]->longRunning = true;
+    serving.submitted->spec->steps[0]->targetMs = 50;
+    serving.submitted->spec->steps[0]->maxPerVm = 1;
+    model.send(serving);
+    model.run(300);
+    for (auto &each : model.nodes) {
+        for (auto &[task, state] : each.worker.running)
+            state.leftMs = 60'000;
+    }
+    model.run(3'500); // an idle worker answers the first look after two seconds
+    auto filling = model.submission("f", 2, 1'000);
+    filling.submitted->spec->steps[0]->fills = true;
+    model.send(filling);
+    model.run(1'000);
+    BOOST_TEST((model.shown("f") == job_state::queued));
+    model.run(1'500); // stands still for less than three seconds
+    BOOST_TEST((model.shown("f") != job_state::queued));
+    BOOST_TEST(model.runUntil("f", job_state::completed, 8'000));
+}
+
 BOOST_AUTO_TEST_CASE(fillingTasksStayAwayFromServingOnesWhileThereIsRoom)
 {
     fleet_model model(3);
