Avoid workers whose batch runs hardly get on, and move their runs

Cause: workers that stand still or turn slow answer their calls and always have room, so they drew new tasks; a job of sixteen tasks meets one of eleven such workers more often than not. The owner compares the progress of a worker's batch runs with their estimates and takes the worker out of use below 0.3 (with two jobs or more) or 0.02; runs that would be done much sooner elsewhere are stopped and start there.

Tests: progress_watch_test.cpp; runsMoveOffAWorkerThatStandsStill, which fails without the watch.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -159,6 +159,7 @@
     void learnDisturbances(worker &where, const agent_report &report, instant now);
     void describe(worker &where, const std::vector<std::string> &names);
     void describeFilling(worker &where);
+    void watchProgress(worker &where, const agent_report &report, instant now);
     void grant(const std::string &node, worker *where, const agent_report &report, instant now);
     [[nodiscard]] bool hasMajority() const;
     void dropLostWorkers(instant now);
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -11,10 +11,9 @@
 /// A port without a listener seen that often in a row: the worker's process is gone.
 constexpr std::uint32_t notRunningProof = 2;
 constexpr milliseconds holdRetryInterval{ 150 };
-// How long the worker may wait for an end before it answers.
-constexpr std::uint32_t pacedWaitMs = 500; // figures for the pacing are half a second old
-constexpr std::uint32_t busyWaitMs = 1'000;
-constexpr std::uint32_t idleWaitMs = 2'000;
+/// How long the worker may wait for an end before it answers. Its figures cover half a second, and
+/// a start does not end the wait: what has just started is not listed before.
+constexpr std::uint32_t longestWaitMs = 500;
 
 } // namespace
 
@@ -238,16 +237,10 @@
 
 std::uint32_t agent::holdWaitMs() const
 {
-    const bool paced = std::any_of(m_runs.begin(), m_runs.end(),
-                                   [](const auto &entry) { return entry.second.targetMs > 0; });
     const bool settling = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
         return entry.second.phase == run_phase::settling;
     });
-    if (settling || !m_listed)
-        return 0;
-    if (m_runs.empty())
-        return idleWaitMs;
-    return paced ? pacedWaitMs : busyWaitMs;
+    return settling || !m_listed ? 0 : longestWaitMs;
 }
 
 void agent::hold(instant now)
@@ -474,6 +467,8 @@
                 status->checkpoint = state.checkpoint;
                 status->percent = state.percent;
                 status->usage = state.usage;
+                if (state.fills)
+                    status->pace = static_cast<std::uint8_t>(m_pacing.percentOf(key.first));
                 content.running.push_back(std::move(status));
             } else {
                 auto starting = std::make_unique<run_ref>();
--- a/src/libsched/fake_fleet_worker.h
+++ b/src/libsched/fake_fleet_worker.h
@@ -3,6 +3,7 @@
 #include "plantainpitch/sched/run_outcome.h"
 #include "plantainpitch/sched/worker_call.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,6 +26,7 @@
     sched::worker_info info;
     bool up = true;
     bool failsAll = false;
+    bool standsStill = false; ///< answers, but no run gets on
     std::uint32_t usage = 0; ///< that all tasks report
     std::int64_t clockMs = 1'000;
     std::int64_t leaseUntilMs = 0;
@@ -56,8 +58,10 @@
             return;
         std::vector<std::pair<std::string, sched::run_outcome>> ends;
         for (auto &[task, state] : running) {
-            state.leftMs -= ms;
-            state.doneMs += ms;
+            if (!standsStill) {
+                state.leftMs -= ms;
+                state.doneMs += ms;
+            }
             if (clockMs >= leaseUntilMs)
                 ends.emplace_back(task, sched::run_outcome::lapsed);
             else if (state.stopping && clockMs >= state.stopAtMs)
@@ -149,7 +153,8 @@
             sched::run_status status;
             status.task = task;
             status.run = state.run;
-            status.percent = 100;
+            status.percent = static_cast<std::uint32_t>(
+                    100 * state.doneMs / std::max<std::int64_t>(1, state.doneMs + state.leftMs));
             status.usage = usage;
             reply.listing->running.push_back(status);
         }
--- /dev/null
+++ b/src/libsched/progress_watch_test.cpp
@@ -0,0 +1,73 @@
+#include "plantainpitch/sched/progress_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+using sched::progress_watch;
+using sched::run_progress;
+
+namespace {
+
+/// Reports of two runs of two jobs, once a second, that get on at that speed.
+void report(progress_watch &subject, int reports, double speed, double pace = 1, int jobs = 2)
+{
+    static double done = 0;
+    static instant now{ std::chrono::seconds(100) };
+    for (int i = 0; i < reports; ++i) {
+        now += std::chrono::seconds(1);
+        done += 1'000 * speed * pace;
+        std::vector<run_progress> runs = { { "a", "job-a", done, pace } };
+        if (jobs > 1)
+            runs.push_back({ "b", "job-b", done, pace });
+        subject.observe(runs, now);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(watch_of_progress)
+
+BOOST_AUTO_TEST_CASE(aWorkerOnWhichRunsStandStillIsSlowAfterOneSecond)
+{
+    progress_watch subject;
+    report(subject, 3, 1);
+    BOOST_TEST(!subject.slow());
+    report(subject, 4, 0);
+    BOOST_TEST(subject.slow());
+}
+
+BOOST_AUTO_TEST_CASE(aWorkerThatIsSixTimesSlowerIsSlow)
+{
+    progress_watch subject;
+    report(subject, 5, 1.0 / 6);
+    BOOST_TEST(subject.slow());
+}
+
+// Estimates are off by a factor, and one job may take many times its estimate.
+BOOST_AUTO_TEST_CASE(oneJobThatTakesLongerIsNotTheWorkersFault)
+{
+    progress_watch subject;
+    report(subject, 5, 0.2, 1, 1);
+    BOOST_TEST(!subject.slow());
+    report(subject, 5, 0.6);
+    BOOST_TEST(!subject.slow());
+}
+
+// Paced runs stand still by the agent's order.
+BOOST_AUTO_TEST_CASE(pacedRunsAreNoEvidence)
+{
+    progress_watch subject;
+    report(subject, 5, 0, 0);
+    BOOST_TEST(!subject.slow());
+}
+
+BOOST_AUTO_TEST_CASE(aWorkerThatGetsOnAgainIsNotSlow)
+{
+    progress_watch subject;
+    report(subject, 5, 0);
+    BOOST_TEST(subject.slow());
+    report(subject, 3, 1);
+    BOOST_TEST(!subject.slow());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -193,6 +193,20 @@
     requireSound(model);
 }
 
+// A worker that stands still answers all calls and always has room: without a look at the progress,
+// it got more of the work than the others.
+BOOST_AUTO_TEST_CASE(runsMoveOffAWorkerThatStandsStill)
+{
+    fleet_model model(2);
+    model.nodes[0].worker.standsStill = true;
+    model.run(1'000);
+    for (const char *id : { "a", "b" })
+        model.send(model.submission(id, 4));
+    BOOST_TEST(model.runUntil("a", job_state::completed, 6'000));
+    BOOST_TEST(model.runUntil("b", job_state::completed, 2'000));
+    requireSound(model);
+}
+
 // Filling steps reserve no processors. Once every VM had a serving task, isolation left no VM for
 // them, and they stood still with most of the room free.
 BOOST_AUTO_TEST_CASE(fillingTasksRunAlthoughEveryVmServes)
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -11,6 +11,13 @@
 /// process may have become the owner.
 constexpr std::chrono::milliseconds confirmationValid{ 2'500 };
 
+/// A worker whose runs hardly get on is left alone for that long, again with each report.
+constexpr std::chrono::milliseconds slowWorkerPause{ 2'500 };
+/// A run is moved off a slow worker if it would be done there this many times later.
+constexpr double worthMoving = 1.5;
+/// Time that a move takes: the stop, the report of it and the start elsewhere.
+constexpr double moveMs = 1'200;
+
 /// Workers carry their kind first, then their rack.
 std::string rackOf(const worker_info &info)
 {
@@ -177,6 +184,51 @@
     }
 }
 
+/// Keeps new tasks away from a worker whose batch runs hardly get on, and moves those runs that
+/// would be done much sooner elsewhere.
+void scheduler::watchProgress(worker &where, const agent_report &report, instant now)
+{
+    std::vector<run_progress> working;
+    for (const auto &each : report.running) {
+        const task_place place = find(each->task);
+        if (!place.item || place.item->run != each->run || place.item->place != where.key)
+            continue;
+        const step_spec &spec = place.owner->stepSpec(task_name::parse(each->task)->step);
+        if (!spec.longRunning && !spec.gang)
+            working.push_back({ .task = each->task,
+                                .job = place.owner->request.id,
+                                .doneMs = each->percent / 100.0 * spec.estimateMs,
+                                .pace = each->pace / 100.0 });
+    }
+    where.progress.observe(working, now);
+    if (!where.progress.slow())
+        return;
+    if (where.avoidUntil <= now) {
+        log(log_level::warning, "worker_slow",
+            { { "worker", where.key.id },
+              { "speed", std::to_string(where.progress.speed()) },
+              { "runs", std::to_string(working.size()) } });
+    }
+    where.avoidUntil = std::max(where.avoidUntil, now + slowWorkerPause);
+    const double speed = std::max(where.progress.speed(), 0.05);
+    for (const run_progress &each : working) {
+        const task_place place = find(each.task);
+        const step_spec &spec = place.owner->stepSpec(task_name::parse(each.task)->step);
+        const double leftMs = std::max(0.0, spec.estimateMs - each.doneMs);
+        const double elsewhereMs = moveMs + (spec.checkpointing ? leftMs : spec.estimateMs);
+        const auto held = where.runs.find(each.task);
+        if (held == where.runs.end() || held->second.stopOrdered
+            || leftMs / speed < worthMoving * elsewhereMs)
+            continue;
+        log(log_level::info, "run_moved",
+            { { "task", each.task },
+              { "worker", where.key.id },
+              { "left_ms", std::to_string(static_cast<int>(leftMs)) },
+              { "reason", "worker_slow" } });
+        orderStop(where, each.task, held->second.run);
+    }
+}
+
 void scheduler::reconcile(worker &where, const agent_report &report)
 {
     std::set<std::pair<std::string, std::uint32_t>> present;
@@ -246,6 +298,7 @@
         where.connected = true;
         reconcile(where, report);
         learnDisturbances(where, report, now);
+        watchProgress(where, report, now);
     }
     grant(node, &where, report, now);
 }
