--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -20,8 +20,8 @@
 constexpr double besideServingPenalty = 2.0;
 
 /// Headroom that has to be left beside a task that disturbs, and beside one that hardly does.
-constexpr double goalBesideDisturbing = 1.25;
-constexpr double goalBesideHarmless = 1.1;
+constexpr double goalBesideDisturbing = 1.7;
+constexpr double goalBesideHarmless = 1.25;
 /// Less headroom than this is lost by a task that hardly disturbs.
 constexpr double harmless = 0.15;
 /// Assumed of serving tasks that have not reported yet.
--- a/src/libsched/pacing.cpp
+++ b/src/libsched/pacing.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 // Headroom is latency target / latency. The gap between the bounds keeps paces from swinging.
-constexpr double slowDownBelow = 1.08;
-constexpr double speedUpAbove = 1.2;
+constexpr double slowDownBelow = 1.25;
+constexpr double speedUpAbove = 1.4;
 /// Assumed of tasks whose disturbance is not known, and of those that disturb less: slowing them
 /// down has to have some effect in the end.
 constexpr double leastDisturbance = 0.02;
