Ask for headroom by what a task takes; help starved jobs once no jobs come

Losses count half a standard deviation above their estimates, so that unknown images are tried with few tasks (four at once took a headroom of 4 to 0.13), and a run that was ordered counts for a second more, until the figures show it.

--- a/src/include/plantainpitch/sched/headroom_filter.h
+++ b/src/include/plantainpitch/sched/headroom_filter.h
@@ -32,7 +32,8 @@
 public:
     void observe(const headroom_sample &sample);
 
-    /// Headroom lost if \a filling used all processors of a VM.
+    /// Headroom lost if \a filling used all processors of a VM: somewhat above the
+    /// estimate if that is uncertain, so that unknown images are tried with few tasks.
     [[nodiscard]] double loss(const std::string &filling) const;
     /// Change of the job's headroom per second by its own load.
     [[nodiscard]] double trend(const std::string &job) const;
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -195,6 +195,7 @@
     bool m_commitInFlight = false;
     std::optional<instant> m_storeFailedSince;
     instant m_lastPass{};
+    instant m_lastSubmission{};
     instant m_lastStateLog{};
 
     staged_effects m_staged; ///< go with the next batch
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -43,6 +43,16 @@
     bool operator==(const serving_headroom &) const = default;
 };
 
+/// A filling run that was ordered a short time ago.
+struct recent_filling
+{
+    std::string image;
+    std::int64_t cpu = 0; ///< thousandths of a core
+    instant orderedAt{};
+
+    bool operator==(const recent_filling &) const = default;
+};
+
 /// What the owner knows of one incarnation of a worker.
 struct worker
 {
@@ -59,8 +69,7 @@
     std::int64_t servingCpu = 0; ///< what they reserve
     std::map<std::string, std::uint32_t> servingImages; ///< runs by image
     std::vector<serving_headroom> headrooms; ///< at the last report
-    /// Processors of the filling runs ordered since the last report, by image.
-    std::map<std::string, std::int64_t> filledSinceReport;
+    std::vector<recent_filling> recentFilling; ///< which the headrooms do not show yet
     bool ready = false; ///< not draining
     bool responsive = false;
     bool connected = false; ///< the agent is connected and its runs are known
--- a/src/libsched/headroom_filter.cpp
+++ b/src/libsched/headroom_filter.cpp
@@ -14,6 +14,8 @@
 constexpr double unknownLoss = 6;
 constexpr double unknownLossVariance = 36;
 constexpr double largestLoss = 60;
+/// Standard deviations by which a loss is taken to be above its estimate.
+constexpr double deviationsAbove = 0.5;
 /// Variance that a loss gains in a second, because the amounts change.
 constexpr double lossDrift = 0.05;
 
@@ -37,8 +39,13 @@
 double headroom_filter::loss(const std::string &filling) const
 {
     const auto found = m_losses.find(filling);
-    return found == m_losses.end() ? unknownLoss
-                                   : std::clamp(m_state[found->second], 0.0, largestLoss);
+    if (found == m_losses.end())
+        return unknownLoss + deviationsAbove * std::sqrt(unknownLossVariance);
+    const Eigen::Index index = found->second;
+    const double estimate = std::max(0.0, m_state[index]);
+    return std::min(
+            largestLoss,
+            estimate + deviationsAbove * std::sqrt(std::max(0.0, m_covariance(index, index))));
 }
 
 double headroom_filter::trend(const std::string &job) const
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -19,7 +19,8 @@
 constexpr double otherImagePenalty = 1.0;
 constexpr double besideServingPenalty = 2.0;
 
-/// Headroom that has to be left beside a task that disturbs, and beside one that hardly does.
+/// Headroom that has to be left beside a task that takes one or more, and beside one that takes
+/// none; between them in between.
 constexpr double goalBesideDisturbing = 1.7;
 constexpr double goalBesideHarmless = 1.25;
 /// Less headroom than this is lost by a task that hardly disturbs.
@@ -63,8 +64,8 @@
 {
     const auto lossOf = [&](const std::string &serving) {
         double lost = shareOf(where, step.cpu) * m_model.loss(serving, imageOf(step));
-        for (const auto &[image, cpu] : where.filledSinceReport)
-            lost += shareOf(where, cpu) * m_model.loss(serving, image);
+        for (const recent_filling &each : where.recentFilling)
+            lost += shareOf(where, each.cpu) * m_model.loss(serving, each.image);
         return lost;
     };
     const double outlook = std::min(longestOutlookSeconds, step.estimateMs / 1000.0);
@@ -111,8 +112,9 @@
         return false;
     if (starved || candidate.serving == 0)
         return true;
-    const bool disturbs = disturbance(m_model, candidate, step) >= harmless;
-    return headroomWith(candidate, step) >= (disturbs ? goalBesideDisturbing : goalBesideHarmless);
+    const double disturbs = std::min(1.0, disturbance(m_model, candidate, step));
+    return headroomWith(candidate, step)
+           >= goalBesideHarmless + disturbs * (goalBesideDisturbing - goalBesideHarmless);
 }
 
 worker *isolating_placement::choose(const std::vector<worker *> &candidates, const step_spec &step,
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -56,6 +56,7 @@
     target.request.receivedMs = wallMs;
     target.received = now;
     target.lastActive = now;
+    m_lastSubmission = now;
     if (const queue_config *queue = queueOf(target)) {
         const double chain = queue->stretch * static_cast<double>(target.longestChainMs());
         target.objective = now
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -16,6 +16,8 @@
 /// A job of which nothing has run for that long, though its turn has come, is starved: work that
 /// stands still for three seconds beside free room counts as lost.
 constexpr std::chrono::milliseconds starvedAfter{ 1'500 };
+/// Without a new job for that long, the queue only drains.
+constexpr std::chrono::milliseconds noSubmissionsFor{ 2'000 };
 /// Jobs for each worker up to which the queue counts as short. In a longer one, room for starved
 /// jobs would only be taken from those that can still be in time.
 constexpr double shortQueue = 0.5;
@@ -40,6 +42,18 @@
     return count;
 }
 
+/// More processors are left over than filling tasks use.
+bool mostlyIdle(const std::map<worker_key, std::unique_ptr<worker>> &workers)
+{
+    std::int64_t idle = 0;
+    std::int64_t filling = 0;
+    for (const auto &[key, where] : workers) {
+        idle += std::max<std::int64_t>(0, where->leftOverCpu());
+        filling += where->fillingCpu;
+    }
+    return idle > filling;
+}
+
 bool isActive(const job &target)
 {
     return std::any_of(target.occurrences.begin(), target.occurrences.end(), [](const auto &each) {
@@ -299,6 +313,9 @@
     allocation held = allocationFor(spec, run);
     held.orderNumber = orders.number;
     where.hold(name, held);
+    if (spec.fills)
+        where.recentFilling.push_back(
+                { .image = held.image, .cpu = held.fillingCpu, .orderedAt = now });
     changed(target);
 
     auto order = std::make_unique<start_order>();
@@ -383,14 +400,19 @@
         waiting.resize(maxJobsPerPass);
     for (const ranked &entry : waiting)
         placeSteps(*entry.target, *entry.queue, false, now);
-    const bool helpStarved = static_cast<double>(waiting.size())
-                             <= shortQueue * static_cast<double>(m_workers.size());
+    // While jobs come, those in a long queue would take room from jobs that can still be in time.
+    const bool drains = now - m_lastSubmission >= noSubmissionsFor;
+    const bool queueIsShort = static_cast<double>(waiting.size())
+                              <= shortQueue * static_cast<double>(m_workers.size());
+    bool helpStarved = queueIsShort || (drains && mostlyIdle(m_workers));
     for (const ranked &entry : waiting) {
         job &target = *entry.target;
         if (isActive(target))
             target.lastActive = now;
-        if (helpStarved && now - target.lastActive >= starvedAfter)
-            placeSteps(target, *entry.queue, true, now);
+        if (!helpStarved || now - target.lastActive < starvedAfter)
+            continue;
+        placeSteps(target, *entry.queue, true, now);
+        helpStarved = queueIsShort || !isActive(target);
     }
 }
 
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -18,6 +18,10 @@
 /// Time that a move takes: the stop, the report of it and the start elsewhere.
 constexpr double moveMs = 1'200;
 
+/// What a run disturbs shows in the figures of a report only that long after its order: the listing
+/// may be half a second old, and its figures cover the half second before.
+constexpr std::chrono::milliseconds fillingShows{ 1'000 };
+
 /// Workers carry their kind first, then their rack.
 std::string rackOf(const worker_info &info)
 {
@@ -173,7 +177,9 @@
         ++figures.tasks;
     }
     where.headrooms.clear();
-    where.filledSinceReport.clear();
+    std::erase_if(where.recentFilling, [now](const recent_filling &each) {
+        return now - each.orderedAt >= fillingShows;
+    });
     for (const auto &[job, figures] : byJob) {
         where.headrooms.push_back(
                 { .job = job, .image = figures.image, .headroom = figures.least });
--- a/src/libsched/worker.cpp
+++ b/src/libsched/worker.cpp
@@ -41,8 +41,6 @@
     serving += amount.serves ? 1 : 0;
     servingCpu += amount.serves ? amount.amount.cpu : 0;
     countImages(*this, amount, true);
-    if (amount.fillingCpu > 0)
-        filledSinceReport[amount.image] += amount.fillingCpu;
 }
 
 bool worker::release(const std::string &name, std::uint32_t run)
