--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -401,18 +401,16 @@
     for (const ranked &entry : waiting)
         placeSteps(*entry.target, *entry.queue, false, now);
     // While jobs come, those in a long queue would take room from jobs that can still be in time.
-    const bool drains = now - m_lastSubmission >= noSubmissionsFor;
     const bool queueIsShort = static_cast<double>(waiting.size())
                               <= shortQueue * static_cast<double>(m_workers.size());
-    bool helpStarved = queueIsShort || (drains && mostlyIdle(m_workers));
+    const bool drains = now - m_lastSubmission >= noSubmissionsFor;
+    const bool helpStarved = queueIsShort || (drains && mostlyIdle(m_workers));
     for (const ranked &entry : waiting) {
         job &target = *entry.target;
         if (isActive(target))
             target.lastActive = now;
-        if (!helpStarved || now - target.lastActive < starvedAfter)
-            continue;
-        placeSteps(target, *entry.queue, true, now);
-        helpStarved = queueIsShort || !isActive(target);
+        if (helpStarved && now - target.lastActive >= starvedAfter)
+            placeSteps(target, *entry.queue, true, now);
     }
 }
 
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -243,7 +243,7 @@
         for (auto &[task, state] : each.worker.running)
             state.leftMs = 60'000;
     }
-    model.run(3'500); // an idle worker answers the first look after two seconds
+    model.run(3'500); // until the figures of the serving tasks are reported
     auto filling = model.submission("f", 2, 1'000);
     filling.submitted->spec->steps[0]->fills = true;
     model.send(filling);
@@ -254,6 +254,35 @@
     BOOST_TEST(model.runUntil("f", job_state::completed, 8'000));
 }
 
+// A day of fsd-huelga ended with a long queue of starved jobs, of which one got a place in each
+// pass: the last one came 57 ms after the three seconds.
+BOOST_AUTO_TEST_CASE(allStarvedJobsOfALongQueueRunOnceNoJobsCome)
+{
+    fleet_model model(2);
+    for (auto &each : model.nodes)
+        each.worker.usage = 48; // ms, of a target of 50
+    model.run(1'000);
+    auto serving = model.submission("s", 2, 500);
+    serving.submitted->spec->steps[0]->longRunning = true;
+    serving.submitted->spec->steps[0]->targetMs = 50;
+    serving.submitted->spec->steps[0]->maxPerVm = 1;
+    model.send(serving);
+    model.run(300);
+    for (auto &each : model.nodes) {
+        for (auto &[task, state] : each.worker.running)
+            state.leftMs = 60'000;
+    }
+    model.run(3'500); // until the figures of the serving tasks are reported
+    for (int i = 0; i < 12; ++i) {
+        auto filling = model.submission("f" + std::to_string(i), 1, 150);
+        filling.submitted->spec->steps[0]->fills = true;
+        model.send(filling);
+    }
+    model.run(2'500);
+    for (int i = 0; i < 12; ++i)
+        BOOST_TEST((model.shown("f" + std::to_string(i)) != job_state::queued));
+}
+
 BOOST_AUTO_TEST_CASE(fillingTasksStayAwayFromServingOnesWhileThereIsRoom)
 {
     fleet_model model(3);
