--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -17,6 +17,25 @@
         BOOST_ERROR(violation);
 }
 
+/// Every VM gets a serving task that is at 48 of its 50 ms.
+void serveWithoutHeadroom(fleet_model &model)
+{
+    for (auto &each : model.nodes)
+        each.worker.usage = 48; // ms, of a target of 50
+    model.run(1'000);
+    auto serving = model.submission("s", 2, 500);
+    serving.submitted->spec->steps[0]->longRunning = true;
+    serving.submitted->spec->steps[0]->targetMs = 50;
+    serving.submitted->spec->steps[0]->maxPerVm = 1;
+    model.send(serving);
+    model.run(300);
+    for (auto &each : model.nodes) {
+        for (auto &[task, state] : each.worker.running)
+            state.leftMs = 60'000;
+    }
+    model.run(3'500); // until the figures of the serving tasks are reported
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(scheduler)
@@ -230,20 +249,7 @@
 BOOST_AUTO_TEST_CASE(aStarvedFillingJobRunsBesideServingTasksWithoutHeadroom)
 {
     fleet_model model(2);
-    for (auto &each : model.nodes)
-        each.worker.usage = 48; // ms, of a target of 50
-    model.run(1'000);
-    auto serving = model.submission("s", 2, 500);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    serving.submitted->spec->steps[0]->maxPerVm = 1;
-    model.send(serving);
-    model.run(300);
-    for (auto &each : model.nodes) {
-        for (auto &[task, state] : each.worker.running)
-            state.leftMs = 60'000;
-    }
-    model.run(3'500); // until the figures of the serving tasks are reported
+    serveWithoutHeadroom(model);
     auto filling = model.submission("f", 2, 1'000);
     filling.submitted->spec->steps[0]->fills = true;
     model.send(filling);
@@ -259,20 +265,7 @@
 BOOST_AUTO_TEST_CASE(allStarvedJobsOfALongQueueRunOnceNoJobsCome)
 {
     fleet_model model(2);
-    for (auto &each : model.nodes)
-        each.worker.usage = 48; // ms, of a target of 50
-    model.run(1'000);
-    auto serving = model.submission("s", 2, 500);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    serving.submitted->spec->steps[0]->maxPerVm = 1;
-    model.send(serving);
-    model.run(300);
-    for (auto &each : model.nodes) {
-        for (auto &[task, state] : each.worker.running)
-            state.leftMs = 60'000;
-    }
-    model.run(3'500); // until the figures of the serving tasks are reported
+    serveWithoutHeadroom(model);
     for (int i = 0; i < 12; ++i) {
         auto filling = model.submission("f" + std::to_string(i), 1, 150);
         filling.submitted->spec->steps[0]->fills = true;
