--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -85,7 +85,7 @@
 /// What one task of the step reserves; a step that fills reserves no processors.
 resources reservation(const step_spec &step);
 
-/// Name of the step's image. Never empty: to an interference model that means "no batch task".
+/// Name of the step's image; "unnamed" for steps that name none, which then count as one image.
 std::string imageOf(const step_spec &step);
 
 /// What a run of the step holds on its worker.
