Start a gang as a whole or not at all

Cause: the members of a gang were placed one after the other once the sum of the free room was enough. Limits of members per VM, left-over processors of filling gangs and refused members that wait for their retry were not counted, so some members started, waited for the others and ended alone, again and again.

Ruled out: lost starts.

The places of all members are now planned before any is started. All members resume from one saved state, a gang that no rack can hold runs on several, and a run with failed members counts as one failure of the gang.

--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -32,6 +32,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t active = 0;
     std::uint32_t done = 0;
+    std::uint32_t lastFailedRun = 0; ///< of a gang
 };
 
 struct occurrence
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -141,7 +141,11 @@
     void requeue(const task_place &place);
     void release(worker &where, const std::string &name, std::uint32_t run);
     void orderStop(worker &where, const std::string &name, std::uint32_t run);
+    void noteCheckpoint(const task_place &place, const std::string &checkpoint);
     void loseRuns(worker &where, const char *reason);
+    agent_orders &ordersFor(worker &where);
+
+    // scheduler_placing.cpp
     void schedulePass(instant now);
     void placeSteps(job &target, const queue_config &queue, bool starved, instant now);
     void placeStep(job &target, const queue_config &queue, occurrence &within, std::uint32_t step,
@@ -151,7 +155,12 @@
     [[nodiscard]] std::vector<worker *> candidates(const job &target, const queue_config &queue,
                                                    const occurrence &within, std::uint32_t step,
                                                    bool starved, instant now);
-    agent_orders &ordersFor(worker &where);
+    void placeGang(job &target, const queue_config &queue, occurrence &within, std::uint32_t step,
+                   bool starved, instant now);
+    [[nodiscard]] std::vector<worker *> planGang(const job &target, const occurrence &within,
+                                                 std::uint32_t step, std::vector<worker *> usable,
+                                                 bool starved) const;
+    [[nodiscard]] bool fitsOneRack(const std::string &service, const step_spec &spec) const;
 
     // scheduler_workers.cpp
     worker &workerAt(const std::string &node, const worker_info &info, instant now);
--- /dev/null
+++ b/src/libsched/scheduler_gang_test.cpp
@@ -0,0 +1,142 @@
+#include "fleet_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+using sched::job_state;
+using test::fleet_model;
+
+namespace {
+
+sched::client_call gang(fleet_model &model, const std::string &id, std::uint32_t tasks,
+                        std::uint32_t cpu)
+{
+    auto call = model.submission(id, tasks, cpu);
+    call.submitted->spec->steps[0]->gang = true;
+    return call;
+}
+
+std::size_t startsOf(const fleet_model &model, const std::string &id)
+{
+    return static_cast<std::size_t>(
+            std::count_if(model.starts.begin(), model.starts.end(),
+                          [&id](const std::string &each) { return each.starts_with(id + "."); }));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(scheduler_gangs)
+
+BOOST_AUTO_TEST_CASE(aGangStartsAsAWhole)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    model.send(gang(model, "g", 5, 2'000));
+    BOOST_TEST(model.runUntil("g", job_state::completed, 4'000));
+    BOOST_TEST(startsOf(model, "g") == 5U);
+}
+
+// The members that found room waited for the others and ended alone, again and again.
+BOOST_AUTO_TEST_CASE(noMemberStartsUnlessAllFindRoomWithinTheLimitOfAVm)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    auto call = gang(model, "g", 3, 500);
+    call.submitted->spec->steps[0]->maxPerVm = 1;
+    model.send(call);
+    model.run(2'000);
+    BOOST_TEST(startsOf(model, "g") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(noMemberStartsUnlessAllFindLeftOverProcessors)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    auto call = gang(model, "g", 5, 2'000); // the VMs have 4'000 each
+    call.submitted->spec->steps[0]->fills = true;
+    model.send(call);
+    model.run(2'000);
+    BOOST_TEST(startsOf(model, "g") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aGangThatFitsInARackStaysInIt)
+{
+    fleet_model model(4);
+    for (std::size_t i = 2; i < 4; ++i)
+        model.nodes[i].worker.info.labels = { "a", "rack-2" };
+    model.run(1'000);
+    auto call = gang(model, "g", 4, 2'000);
+    call.submitted->spec->steps[0]->sameRack = true;
+    model.send(call);
+    model.run(400);
+    std::set<std::string> racks;
+    for (const auto &each : model.nodes) {
+        if (!each.worker.running.empty())
+            racks.insert(each.worker.info.labels[1]);
+    }
+    BOOST_TEST(racks.size() == 1U);
+}
+
+// It would never run otherwise: only its work takes longer on more racks than one.
+BOOST_AUTO_TEST_CASE(aGangLargerThanEachRackRunsOnSeveral)
+{
+    fleet_model model(4);
+    for (std::size_t i = 2; i < 4; ++i)
+        model.nodes[i].worker.info.labels = { "a", "rack-2" };
+    model.run(1'000);
+    auto call = gang(model, "g", 6, 2'000);
+    call.submitted->spec->steps[0]->sameRack = true;
+    model.send(call);
+    BOOST_TEST(model.runUntil("g", job_state::completed, 4'000));
+}
+
+// Members that resume from different states are refused by their workers.
+BOOST_AUTO_TEST_CASE(allMembersOfAGangResumeFromTheSameState)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    auto call = gang(model, "g", 3, 3'000);
+    call.submitted->spec->steps[0]->checkpointing = true;
+    model.send(call);
+    model.run(200);
+    for (auto &each : model.nodes) {
+        for (auto &[task, state] : each.worker.running) {
+            state.leftMs = 100'000;
+            state.doneMs = each.name.back() - '0';
+        }
+    }
+    model.run(1'000);
+    for (auto &each : model.nodes) {
+        while (!each.worker.running.empty())
+            each.worker.end(each.worker.running.begin()->first, sched::run_outcome::broken);
+    }
+    model.run(300);
+    const sched::job *found = model.owner->findJob("g");
+    BOOST_REQUIRE(found);
+    const auto &members = found->occurrences[0].steps[0].tasks;
+    BOOST_TEST(members[0].run == 2U);
+    BOOST_TEST(!members[0].checkpoint.empty());
+    for (const sched::task &each : members)
+        BOOST_TEST(each.checkpoint == members[0].checkpoint);
+}
+
+// A gang in which another member fails each time would be tried without end.
+BOOST_AUTO_TEST_CASE(aGangHasFailedOnceForEachRunInWhichAMemberFailed)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    model.send(gang(model, "g", 3, 3'000));
+    for (std::size_t failing = 0; failing < 3; ++failing) {
+        model.run(400);
+        for (std::size_t i = 0; i < 3; ++i) {
+            auto &running = model.nodes[i].worker.running;
+            BOOST_REQUIRE(!running.empty());
+            model.nodes[i].worker.end(running.begin()->first, i == failing
+                                                                      ? sched::run_outcome::failed
+                                                                      : sched::run_outcome::broken);
+        }
+    }
+    BOOST_TEST(model.runUntil("g", job_state::failed, 1'000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libsched/scheduler_placing.cpp
@@ -0,0 +1,296 @@
+#include "plantainpitch/sched/scheduler.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace plantainpitch::sched {
+
+namespace {
+
+/// A job of which nothing has run for that long, though its turn has come, is starved: work that
+/// stands still for three seconds beside free room counts as lost.
+constexpr std::chrono::milliseconds starvedAfter{ 1'500 };
+/// Without a new job for that long, the queue only drains.
+constexpr std::chrono::milliseconds noSubmissionsFor{ 2'000 };
+/// Jobs for each worker up to which the queue counts as short. In a longer one, room for starved
+/// jobs would only be taken from those that can still be in time.
+constexpr double shortQueue = 0.5;
+/// Jobs that are considered in one pass; bounds the time that a pass takes.
+constexpr std::size_t maxJobsPerPass = 400;
+
+/// Tasks of that size that an empty worker holds.
+std::int64_t placesIn(const resources &capacity, const resources &needed)
+{
+    std::int64_t count = std::numeric_limits<std::int32_t>::max();
+    if (needed.cpu > 0)
+        count = std::min(count, capacity.cpu / needed.cpu);
+    if (needed.memoryMb > 0)
+        count = std::min(count, capacity.memoryMb / needed.memoryMb);
+    if (needed.accelerators > 0)
+        count = std::min(count, capacity.accelerators / needed.accelerators);
+    return count;
+}
+
+/// More processors are left over than filling tasks use.
+bool mostlyIdle(const std::map<worker_key, std::unique_ptr<worker>> &workers)
+{
+    std::int64_t idle = 0;
+    std::int64_t filling = 0;
+    for (const auto &[key, where] : workers) {
+        idle += std::max<std::int64_t>(0, where->leftOverCpu());
+        filling += where->fillingCpu;
+    }
+    return idle > filling;
+}
+
+bool isActive(const job &target)
+{
+    return std::any_of(target.occurrences.begin(), target.occurrences.end(), [](const auto &each) {
+        return std::any_of(each.steps.begin(), each.steps.end(),
+                           [](const step_run &step) { return step.active > 0; });
+    });
+}
+
+std::map<std::string, std::vector<worker *>> byRack(const std::vector<worker *> &workers)
+{
+    std::map<std::string, std::vector<worker *>> racks;
+    for (worker *each : workers)
+        racks[each->rack].push_back(each);
+    return racks;
+}
+
+} // namespace
+
+std::vector<worker *> scheduler::candidates(const job &target, const queue_config &queue,
+                                            const occurrence &within, std::uint32_t step,
+                                            bool starved, instant now)
+{
+    const step_spec &spec = target.stepSpec(step);
+    const resources needed = reservation(spec);
+    std::vector<worker *> result;
+    for (auto &[key, entry] : m_workers) {
+        worker *const where = entry.get(); // lambdas cannot capture the names of a binding
+        if (!where->connected || !where->ready || !where->responsive
+            || where->service != queue.service || where->avoidUntil > now
+            || !needed.fits(where->room()) || !m_placement.admits(*where, spec, starved))
+            continue;
+        const auto &labels = where->labels;
+        if (!spec.requiredLabel.empty()
+            && std::find(labels.begin(), labels.end(), spec.requiredLabel) == labels.end())
+            continue;
+        if (spec.maxPerVm > 0) {
+            const auto &tasks = within.steps[step].tasks;
+            const auto here = std::count_if(tasks.begin(), tasks.end(), [&](const task &each) {
+                return each.phase == task_phase::active && each.place == where->key;
+            });
+            if (here >= spec.maxPerVm)
+                continue;
+        }
+        result.push_back(where);
+    }
+    return result;
+}
+
+void scheduler::start(job &target, occurrence &within, std::uint32_t step, std::uint32_t index,
+                      worker &where, std::uint32_t run, instant now)
+{
+    const step_spec &spec = target.stepSpec(step);
+    step_run &runs = within.steps[step];
+    task &item = runs.tasks[index];
+    const std::string name = task_name{ target.request.id, within.number, step, index }.text();
+    --runs.waiting;
+    ++runs.active;
+    item.phase = task_phase::active;
+    item.run = run;
+    item.place = where.key;
+    item.seen = false;
+    item.orderedAt = now;
+    target.started = true;
+    agent_orders &orders = ordersFor(where);
+    allocation held = allocationFor(spec, run);
+    held.orderNumber = orders.number;
+    where.hold(name, held);
+    if (spec.fills)
+        where.recentFilling.push_back(
+                { .image = held.image, .cpu = held.fillingCpu, .orderedAt = now });
+    changed(target);
+
+    auto order = std::make_unique<start_order>();
+    order->task = name;
+    order->run = run;
+    order->payload = target.request.spec->payload;
+    order->checkpoint = item.checkpoint;
+    order->targetMs = spec.targetMs;
+    order->fills = spec.fills;
+    if (spec.fills)
+        order->disturbance = static_cast<float>(disturbance(m_disturbances, where, spec));
+    orders.starts.push_back(std::move(order));
+    if (spec.targetMs > 0)
+        describeFilling(where);
+    log(log_level::info, "run_ordered",
+        { { "task", name },
+          { "run", std::to_string(run) },
+          { "worker", where.key.id },
+          { "room_cpu", std::to_string(where.room().cpu) } });
+}
+
+void scheduler::placeStep(job &target, const queue_config &queue, occurrence &within,
+                          std::uint32_t step, bool starved, instant now)
+{
+    if (target.stepSpec(step).gang) {
+        placeGang(target, queue, within, step, starved, now);
+        return;
+    }
+    auto &tasks = within.steps[step].tasks;
+    std::vector<worker *> usable = candidates(target, queue, within, step, starved, now);
+    const resources needed = reservation(target.stepSpec(step));
+    for (std::uint32_t index = 0; index < tasks.size() && !usable.empty(); ++index) {
+        task &item = tasks[index];
+        if (item.phase != task_phase::waiting || item.retryAt > now)
+            continue;
+        worker *where = m_placement.choose(usable, target.stepSpec(step), item);
+        if (!where)
+            return;
+        start(target, within, step, index, *where, item.run + 1, now);
+        if (starved)
+            return;
+        if (target.stepSpec(step).maxPerVm > 0)
+            usable = candidates(target, queue, within, step, starved, now);
+        else if (!needed.fits(where->room())
+                 || !m_placement.admits(*where, target.stepSpec(step), starved))
+            usable.erase(std::remove(usable.begin(), usable.end(), where), usable.end());
+    }
+}
+
+/// Starts all members of a gang or none: members that wait for others hold room and end without
+/// having worked.
+void scheduler::placeGang(job &target, const queue_config &queue, occurrence &within,
+                          std::uint32_t step, bool starved, instant now)
+{
+    const step_spec &spec = target.stepSpec(step);
+    const step_run &members = within.steps[step];
+    const auto mayStart = [now](const task &item) {
+        return item.phase == task_phase::waiting && item.retryAt <= now;
+    };
+    if (!std::all_of(members.tasks.begin(), members.tasks.end(), mayStart))
+        return; // members of the last run have not all ended
+    const std::vector<worker *> usable = candidates(target, queue, within, step, starved, now);
+    std::vector<worker *> chosen;
+    const bool oneRack = spec.sameRack && now - target.lastActive < starvedAfter
+                         && fitsOneRack(queue.service, spec);
+    if (oneRack) {
+        for (const auto &[rack, workers] : byRack(usable)) {
+            chosen = planGang(target, within, step, workers, starved);
+            if (!chosen.empty())
+                break;
+        }
+    } else {
+        chosen = planGang(target, within, step, usable, starved);
+    }
+    std::uint32_t run = 0;
+    for (const task &item : members.tasks)
+        run = std::max(run, item.run + 1);
+    for (std::uint32_t index = 0; index < chosen.size(); ++index)
+        start(target, within, step, index, *chosen[index], run, now);
+}
+
+/// Whether a rack whose workers run nothing else could hold the whole gang.
+bool scheduler::fitsOneRack(const std::string &service, const step_spec &spec) const
+{
+    std::map<std::string, std::int64_t> places;
+    for (const auto &[key, where] : m_workers) {
+        if (where->service != service)
+            continue;
+        std::int64_t here = placesIn(where->capacity, reservation(spec));
+        if (spec.maxPerVm > 0)
+            here = std::min<std::int64_t>(here, spec.maxPerVm);
+        places[where->rack] += here;
+    }
+    return std::any_of(places.begin(), places.end(),
+                       [&spec](const auto &rack) { return rack.second >= spec.count; });
+}
+
+/// A worker for each member of the gang; nothing if not all find room.
+std::vector<worker *> scheduler::planGang(const job &target, const occurrence &within,
+                                          std::uint32_t step, std::vector<worker *> usable,
+                                          bool starved) const
+{
+    const step_spec &spec = target.stepSpec(step);
+    const auto &tasks = within.steps[step].tasks;
+    const allocation held = allocationFor(spec, 0);
+    const auto nameOf = [&](std::size_t index) { return "planned." + std::to_string(index); };
+    std::map<const worker *, std::uint32_t> members;
+    std::vector<worker *> chosen;
+    for (std::size_t index = 0; index < tasks.size() && !usable.empty(); ++index) {
+        worker *where = m_placement.choose(usable, spec, tasks[index]);
+        if (!where)
+            break;
+        where->hold(nameOf(index), held);
+        chosen.push_back(where);
+        const bool full = spec.maxPerVm > 0 && ++members[where] >= spec.maxPerVm;
+        if (full || !held.amount.fits(where->room()) || !m_placement.admits(*where, spec, starved))
+            usable.erase(std::remove(usable.begin(), usable.end(), where), usable.end());
+    }
+    for (std::size_t index = 0; index < chosen.size(); ++index)
+        chosen[index]->release(nameOf(index), held.run);
+    if (chosen.size() < tasks.size())
+        chosen.clear();
+    return chosen;
+}
+
+void scheduler::schedulePass(instant now)
+{
+    m_roomChanged = false;
+    m_lastPass = now;
+    struct ranked
+    {
+        double rank;
+        job *target;
+        const queue_config *queue;
+    };
+    std::vector<ranked> waiting;
+    for (job *target : m_open) {
+        const queue_config *queue = queueOf(*target);
+        const bool hasWaiting = std::any_of(
+                target->occurrences.begin(), target->occurrences.end(), [&](const occurrence &o) {
+                    for (std::uint32_t step = 0; step < o.steps.size(); ++step) {
+                        if (o.steps[step].waiting > 0 && target->unlocked(o, step))
+                            return true;
+                    }
+                    return false;
+                });
+        if (queue && hasWaiting)
+            waiting.push_back({ m_order.rank(*target, { queue, m_meanWork[queue->name] }, now),
+                                target, queue });
+    }
+    std::sort(waiting.begin(), waiting.end(),
+              [](const ranked &a, const ranked &b) { return a.rank < b.rank; });
+    if (waiting.size() > maxJobsPerPass)
+        waiting.resize(maxJobsPerPass);
+    for (const ranked &entry : waiting)
+        placeSteps(*entry.target, *entry.queue, false, now);
+    // While jobs come, those in a long queue would take room from jobs that can still be in time.
+    const bool queueIsShort = static_cast<double>(waiting.size())
+                              <= shortQueue * static_cast<double>(m_workers.size());
+    const bool drains = now - m_lastSubmission >= noSubmissionsFor;
+    const bool helpStarved = queueIsShort || (drains && mostlyIdle(m_workers));
+    for (const ranked &entry : waiting) {
+        job &target = *entry.target;
+        if (isActive(target))
+            target.lastActive = now;
+        if (helpStarved && now - target.lastActive >= starvedAfter)
+            placeSteps(target, *entry.queue, true, now);
+    }
+}
+
+void scheduler::placeSteps(job &target, const queue_config &queue, bool starved, instant now)
+{
+    for (occurrence &within : target.occurrences) {
+        for (std::uint32_t step = 0; step < within.steps.size(); ++step) {
+            if (within.steps[step].waiting > 0 && target.unlocked(within, step))
+                placeStep(target, queue, within, step, starved, now);
+        }
+    }
+}
+
+} // namespace plantainpitch::sched
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -257,8 +257,7 @@
             orderStop(where, each->task, each->run);
             continue;
         }
-        if (!each->checkpoint.empty())
-            place.item->checkpoint = each->checkpoint;
+        noteCheckpoint(place, each->checkpoint);
         if (!place.item->seen) {
             place.item->seen = true;
             unknownToAgent.push_back(each->task);
