Settle starts that may have reached a worker's next incarnation

Cause: a worker that starts again under its id takes calls that were meant for the incarnation before. Until its announcement arrived, up to half a heartbeat later, its agent sent it starts, and the owner then took them for lost with the earlier incarnation and started the tasks elsewhere: they ran twice. A hold of that time also confirmed ends up to a number of the earlier incarnation, so that ends of the new one were forgotten and their tasks ran again.

Runs that no listing has shown now go over to the next incarnation with their room, and the agent's report or a stop settles them. An agent that is answered by another incarnation sends nothing until that announces itself, and after a failed hold it confirms no ends. A start earlier than the known one is accepted from an incarnation that has answered, since wall clocks jump.

Five new tests fail without this and pass now.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -60,7 +60,7 @@
 private:
     enum class run_phase {
         starting, ///< the start is on its way
-        running, ///< started; listed by the worker, or by the next listing
+        running, ///< started
         stopping, ///< to be stopped, or kept from starting
         settling, ///< the stop is answered; the next listing shows whether the run exists
     };
@@ -71,6 +71,7 @@
         bool fills = false;
         double disturbance = 0; ///< headroom that serving tasks lose by it
         bool stopOnItsWay = false;
+        bool listed = false; ///< by the worker; until then it may run on another incarnation
         instant nextStop{};
         /// Listings that were asked for before this one do not prove the absence of the run.
         std::uint64_t provedByHold = 0;
@@ -88,6 +89,7 @@
     void onStartReply(const worker_call &call, const worker_reply &reply, instant now);
     void onHoldReply(const worker_call &call, const worker_reply &reply, instant now);
     void onListing(const worker_listing &listing, std::uint64_t holdNumber, instant now);
+    void awaitAnnouncement(std::uint64_t startMs);
     void onUnreachable(const worker_reply &reply, instant now);
     void pace(instant now);
     void hold(instant now);
@@ -102,6 +104,8 @@
     const agent_options m_options;
     std::optional<worker_info> m_worker;
     bool m_workerReported = false; ///< on the present connection
+    /// Start of an incarnation that has answered and not announced itself yet; 0: none.
+    std::uint64_t m_unannounced = 0;
     bool m_responsive = false;
     bool m_lapsed = false;
     instant m_leasedUntil{}; ///< the latest end of a lease, this process's clock
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -163,6 +163,8 @@
     [[nodiscard]] bool fitsOneRack(const std::string &service, const step_spec &spec) const;
 
     // scheduler_workers.cpp
+    void keepRunsInDoubt(worker &earlier, worker &next);
+    void removeEarlierIncarnations(const std::string &node, worker &current);
     worker &workerAt(const std::string &node, const worker_info &info, instant now);
     void reconcile(worker &where, const agent_report &report);
     void learnDisturbances(worker &where, const agent_report &report, instant now);
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -43,7 +43,8 @@
 
 bool agent::workerAnnounced(const worker_info &info, std::int64_t clockMs, instant now)
 {
-    if (m_worker && info.startMs < m_worker->startMs)
+    // Wall clocks jump: an incarnation that has answered is the present one, whenever it started.
+    if (m_worker && info.startMs < m_worker->startMs && info.startMs != m_unannounced)
         return false;
     const bool sameLife = m_worker && m_worker->id == info.id && m_worker->startMs == info.startMs;
     if (!sameLife) {
@@ -52,6 +53,7 @@
               { "start_ms", std::to_string(info.startMs) },
               { "service", info.service } });
         forgetRuns();
+        m_unannounced = 0;
         m_workerClockMs = 0;
         m_responsive = true;
         m_lapsed = false;
@@ -166,8 +168,8 @@
     const run_key key{ order.task, order.run };
     if (m_runs.count(key) > 0)
         return;
-    if (!m_worker->ready) {
-        refuse(key, "draining");
+    if (!m_worker->ready || m_unannounced != 0) {
+        refuse(key, m_unannounced != 0 ? "worker_gone" : "draining");
         return;
     }
     if (m_authorityUntil - now < m_options.shortestLease || m_workerClockMs == 0) {
@@ -247,7 +249,8 @@
 {
     worker_call look = call(worker_call_kind::hold);
     look.number = ++m_holdNumber;
-    look.endsNoted = m_endsNoted;
+    // After a failure, another incarnation may answer, which would forget its own ends up to there.
+    look.endsNoted = m_failedHolds > 0 ? 0 : m_endsNoted;
     look.waitMs = holdWaitMs();
     look.leaseUntilMs = leaseUntil(now);
     m_holdOnItsWay = true;
@@ -316,6 +319,11 @@
     takeClock(reply.clockMs, now);
     m_failedHolds = 0;
     m_notRunning = 0;
+    const worker_listing &listing = *reply.listing;
+    if (listing.startMs != 0 && listing.startMs != m_worker->startMs) {
+        awaitAnnouncement(listing.startMs);
+        return;
+    }
     if (!m_responsive || m_lapsed) {
         m_responsive = true;
         m_lapsed = false;
@@ -323,9 +331,17 @@
         m_completeNow = true;
     }
     m_nextHold = now;
-    if (reply.listing->startMs != 0 && reply.listing->startMs != m_worker->startMs)
-        return; // a new incarnation; it announces itself
-    onListing(*reply.listing, m_holdNumber, now);
+    onListing(listing, m_holdNumber, now);
+}
+
+/// The worker has started anew. What it can take is known only once it announces itself.
+void agent::awaitAnnouncement(std::uint64_t startMs)
+{
+    log(log_level::info, "worker_restarted",
+        { { "worker", m_worker->id }, { "start_ms", std::to_string(startMs) } });
+    m_unannounced = startMs;
+    m_responsive = false;
+    m_reportNow = true;
 }
 
 void agent::onUnreachable(const worker_reply &reply, instant now)
@@ -375,6 +391,7 @@
             m_completeNow = true;
             m_reportNow = true;
         }
+        state.listed = true;
         if (!status->checkpoint.empty())
             state.checkpoint = status->checkpoint;
         state.percent = status->percent;
@@ -424,7 +441,7 @@
 
 void agent::tick(instant now)
 {
-    if (m_worker && m_epoch > 0) {
+    if (m_worker && m_epoch > 0 && m_unannounced == 0) {
         if (!m_holdOnItsWay && now >= m_nextHold)
             hold(now);
         for (auto &[key, state] : m_runs) {
@@ -460,7 +477,7 @@
         m_completeNow = false;
         m_lastComplete = now;
         for (const auto &[key, state] : m_runs) {
-            if (state.phase == run_phase::running) {
+            if (state.phase == run_phase::running && state.listed) {
                 auto status = std::make_unique<run_status>();
                 status->task = key.first;
                 status->run = key.second;
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -25,6 +25,7 @@
         grant.grantedUs = now.time_since_epoch().count();
         subject.onOrders(grant, now);
         subject.takeCalls();
+        subject.takeReports();
     }
 
     void orderStart(std::uint64_t workerStartMs)
@@ -49,6 +50,33 @@
         return {};
     }
 
+    sched::worker_call nextHold()
+    {
+        subject.tick(now);
+        for (const sched::worker_call &call : subject.takeCalls()) {
+            if (call.kind == sched::worker_call_kind::hold)
+                lastHold = call;
+        }
+        return lastHold;
+    }
+
+    /// Answers the next hold.
+    void list(const sched::worker_listing &listing)
+    {
+        sched::worker_reply reply;
+        reply.kind = sched::worker_reply_kind::accepted;
+        reply.clockMs = 1'000;
+        reply.listing = listing;
+        subject.onReply(nextHold(), reply, now);
+    }
+
+    void listNothing(std::uint64_t startMs)
+    {
+        sched::worker_listing listing;
+        listing.startMs = startMs;
+        list(listing);
+    }
+
     std::size_t starts()
     {
         std::size_t count = 0;
@@ -59,6 +87,7 @@
 
     instant now{ milliseconds(1'000'000) };
     sched::worker_info info;
+    sched::worker_call lastHold;
     sched::agent subject{ { .node = "n" } };
 };
 
@@ -145,4 +174,71 @@
     BOOST_TEST(f.refusal() == "not_there");
 }
 
+// Only a listing tells which incarnation a start has reached.
+BOOST_AUTO_TEST_CASE(aRunIsReportedAsRunningOnceItIsListed)
+{
+    granted_agent f;
+    f.listNothing(5);
+    f.orderStart(5);
+    sched::worker_reply accepted;
+    accepted.kind = sched::worker_reply_kind::accepted;
+    for (const sched::worker_call &call : f.subject.takeCalls()) {
+        if (call.kind == sched::worker_call_kind::start)
+            f.subject.onReply(call, accepted, f.now);
+    }
+    f.now += milliseconds(1'100);
+    f.subject.tick(f.now);
+    for (const sched::agent_report &report : f.subject.takeReports()) {
+        BOOST_TEST(report.running.empty());
+        BOOST_TEST((!report.complete || report.starting.size() == 1U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(nothingStartsOnAnIncarnationThatHasNotAnnouncedItself)
+{
+    granted_agent f;
+    f.listNothing(6);
+    f.orderStart(5);
+    BOOST_TEST(f.starts() == 0U);
+    BOOST_TEST(f.refusal() == "worker_gone");
+    f.info.startMs = 6;
+    BOOST_TEST(f.subject.workerAnnounced(f.info, 100, f.now));
+    f.orderStart(6);
+    BOOST_TEST(f.starts() == 1U);
+}
+
+// Wall clocks jump, so a later incarnation may carry an earlier start.
+BOOST_AUTO_TEST_CASE(anIncarnationWithAnEarlierStartIsTakenIfItAnswers)
+{
+    granted_agent f;
+    f.listNothing(3);
+    f.info.startMs = 3;
+    BOOST_TEST(f.subject.workerAnnounced(f.info, 100, f.now));
+    f.orderStart(3);
+    BOOST_TEST(f.starts() == 1U);
+}
+
+// A new incarnation would forget ends up to a number that was noted of the one before.
+BOOST_AUTO_TEST_CASE(afterAFailedHoldNoEndsAreConfirmed)
+{
+    granted_agent f;
+    sched::worker_listing listing;
+    listing.startMs = 5;
+    sched::run_end end;
+    end.number = 7;
+    end.task = "a.0.0.0";
+    end.run = 1;
+    listing.ended.push_back(end);
+    f.list(listing);
+    sched::agent_orders noted;
+    noted.number = 1;
+    noted.workerStartMs = 5;
+    noted.endsNoted = 7;
+    f.subject.onOrders(noted, f.now);
+    BOOST_TEST(f.nextHold().endsNoted == 7U);
+    f.subject.onReply(f.lastHold, {}, f.now);
+    f.now += milliseconds(200);
+    BOOST_TEST(f.nextHold().endsNoted == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -200,6 +200,22 @@
     requireSound(model);
 }
 
+// The call reached the worker's new incarnation before that had announced itself. Its run was taken
+// for one of the incarnation before, which was gone, and the task was started elsewhere as well.
+BOOST_AUTO_TEST_CASE(aStartThatReachesARestartedWorkerRunsOnce)
+{
+    fleet_model model(2);
+    model.run(1'050); // after an announcement; the next one is nearly half a second away
+    auto &restarted = model.nodes[0].worker;
+    model.crashWorker(model.nodes[0]);
+    restarted.restart();
+    model.send(model.submission("a", 2));
+    model.run(100);
+    restarted.info.ready = false; // so that its tasks would be started elsewhere
+    BOOST_TEST(model.runUntil("a", job_state::completed, 8'000));
+    requireSound(model);
+}
+
 BOOST_AUTO_TEST_CASE(aRestartedAgentAdoptsWhatItsWorkerRuns)
 {
     fleet_model model(2);
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -65,34 +65,59 @@
           { "runs", std::to_string(found->second->runs.size()) } });
 }
 
-worker &scheduler::workerAt(const std::string &node, const worker_info &info, instant now)
+/// Takes runs that nobody has seen over to the next incarnation of their worker: their starts may
+/// have reached that one. The agent's report tells, or a stop keeps them from starting.
+void scheduler::keepRunsInDoubt(worker &earlier, worker &next)
 {
-    const worker_key key{ info.id, info.startMs };
-    const auto current = m_workerByNode.find(node);
-    if (current != m_workerByNode.end() && current->second->key != key) {
-        // The worker has started anew and runs nothing of before.
-        loseRuns(*current->second, "worker_restarted");
-        m_workers.erase(current->second->key);
-        m_workerByNode.erase(current);
+    std::vector<std::string> inDoubt;
+    for (const auto &[name, held] : earlier.runs) {
+        const task_place place = find(name);
+        if (place.item && place.item->phase == task_phase::active && place.item->run == held.run
+            && !place.item->seen)
+            inDoubt.push_back(name);
     }
-    auto &entry = m_workers[key];
-    if (!entry) {
-        entry = std::make_unique<worker>();
-        entry->key = key;
+    for (const std::string &name : inDoubt) {
+        allocation held = earlier.runs[name];
+        earlier.release(name, held.run);
+        held.orderNumber = 0;
+        next.hold(name, held);
+        const task_place place = find(name);
+        place.item->place = next.key;
+        changed(*place.owner);
     }
-    // Earlier incarnations that are known from stored records only are gone as well.
+}
+
+void scheduler::removeEarlierIncarnations(const std::string &node, worker &current)
+{
+    const auto named = m_workerByNode.find(node);
+    const worker *last = named == m_workerByNode.end() ? nullptr : named->second;
     for (auto each = m_workers.begin(); each != m_workers.end();) {
-        const worker &other = *each->second;
-        const bool sameVm = other.key.id == key.id || other.agent == node;
-        const bool replaced = sameVm && other.key.startMs < key.startMs;
+        worker &other = *each->second;
+        const bool sameVm = other.key.id == current.key.id || other.agent == node;
+        const bool replaced =
+                &other != &current
+                && (&other == last || (sameVm && other.key.startMs < current.key.startMs));
         if (!replaced) {
             ++each;
             continue;
         }
-        loseRuns(*each->second, "worker_restarted");
+        if (other.key.id == current.key.id)
+            keepRunsInDoubt(other, current);
+        loseRuns(other, "worker_restarted");
         m_workerByNode.erase(other.agent);
         each = m_workers.erase(each);
     }
+}
+
+worker &scheduler::workerAt(const std::string &node, const worker_info &info, instant now)
+{
+    const worker_key key{ info.id, info.startMs };
+    auto &entry = m_workers[key];
+    if (!entry) {
+        entry = std::make_unique<worker>();
+        entry->key = key;
+    }
+    removeEarlierIncarnations(node, *entry);
     entry->agent = node;
     entry->service = info.service;
     entry->dataCentre = info.dataCentre;
