Free calls of the HTTP client that are on their way when the loop stops

Cause: a call held its connection and the connection its call. A program that stopped while a call was on its way never freed the two, and under the address sanitizer it ended with 1 after a graceful stop.

The call now refers to its connection weakly.

A process test that fails prints the sanitizer reports of its programs, and the tests close the pipes of programs they started.

--- a/src/libruntime/http_client_call.h
+++ b/src/libruntime/http_client_call.h
@@ -36,8 +36,9 @@
     boost::asio::steady_timer timer;
     std::function<void(http_result)> done;
     std::atomic<bool> finished{ false };
-    /// Connection that carries the call; null while it waits. Guarded by the pool's mutex.
-    std::shared_ptr<http_client_connection> connection;
+    /// Connection that carries the call; null while it waits. Guarded by the pool's mutex. Weak,
+    /// because the connection holds the call, and both would outlive a loop that stops meanwhile.
+    std::weak_ptr<http_client_connection> connection;
 };
 
 } // namespace plantainpitch::runtime::detail
--- a/src/libruntime/http_client_pool.cpp
+++ b/src/libruntime/http_client_pool.cpp
@@ -28,35 +28,36 @@
     startWaiting();
 }
 
-http_client_pool::call_pointer http_client_pool::takeWaiting()
+std::pair<http_client_pool::call_pointer, http_client_pool::connection_pointer>
+http_client_pool::takeWaiting()
 {
     if (m_waiting.empty() || (m_idle.empty() && m_open >= m_options.maxConnections))
-        return nullptr;
+        return {};
     auto call = std::move(m_waiting.front());
     m_waiting.pop_front();
+    connection_pointer connection;
     if (m_idle.empty()) {
         ++m_open;
-        call->connection = std::make_shared<http_client_connection>(m_context, shared_from_this());
+        connection = std::make_shared<http_client_connection>(m_context, shared_from_this());
     } else {
-        call->connection = std::move(m_idle.back());
+        connection = std::move(m_idle.back());
         m_idle.pop_back();
     }
-    return call;
+    call->connection = connection;
+    return { std::move(call), std::move(connection) };
 }
 
 void http_client_pool::startWaiting()
 {
     while (true) {
-        call_pointer call;
-        connection_pointer connection;
+        std::pair<call_pointer, connection_pointer> next;
         {
             const std::lock_guard lock(m_mutex);
-            call = takeWaiting();
-            if (!call)
-                return;
-            connection = call->connection;
+            next = takeWaiting();
         }
-        connection->start(call);
+        if (!next.first)
+            return;
+        next.second->start(next.first);
     }
 }
 
@@ -66,7 +67,7 @@
     {
         const std::lock_guard lock(m_mutex);
         std::erase(m_waiting, call);
-        connection = call->connection;
+        connection = call->connection.lock();
     }
     if (connection)
         connection->onTimeout(call);
--- a/src/libruntime/http_client_pool.h
+++ b/src/libruntime/http_client_pool.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <utility>
 #include <vector>
 
 namespace plantainpitch::runtime::detail {
@@ -36,7 +37,8 @@
 
     void startWaiting();
     void onTimeout(const call_pointer &call);
-    call_pointer takeWaiting();
+    /// The next call, with the connection that is to carry it; nulls if it has to wait.
+    std::pair<call_pointer, connection_pointer> takeWaiting();
 
     boost::asio::io_context &m_context;
     const http_client_options m_options;
--- a/src/libruntime/http_client_test.cpp
+++ b/src/libruntime/http_client_test.cpp
@@ -162,4 +162,21 @@
     BOOST_TEST(result.get().response.body == "all of it");
 }
 
+// Guards against calls and connections that refer to each other and are never freed: programs that
+// stop while a call is on its way ended with a leak report.
+BOOST_AUTO_TEST_CASE(aCallOnItsWayIsFreedWithTheClient)
+{
+    raw_listener listener;
+    const auto token = std::make_shared<int>();
+    const std::weak_ptr<int> left = token;
+    {
+        client_fixture f(listener.port());
+        f.client.send(get, 60s, [held = token](const http_result & /*result*/) {});
+        raw_socket socket(listener.acceptor);
+        socket.receiveUntil("\r\n\r\n");
+        BOOST_TEST(left.use_count() == 2);
+    }
+    BOOST_TEST(left.use_count() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -79,7 +79,7 @@
         return self
 
     def _read_output(self, process):
-        with open(self.log_path, "ab") as log:
+        with open(self.log_path, "ab") as log, process.stdout:
             for line in process.stdout:
                 log.write(line)
                 log.flush()
@@ -119,6 +119,21 @@
             raise TimeoutError(f"{self.name} did not end, see {self.log_path}") from None
 
 
+def sanitizer_reports(directory, most_lines=60):
+    """First lines of each report of a sanitizer in the logs of a directory."""
+    found = []
+    for name in sorted(os.listdir(directory)):
+        if not name.endswith(".log"):
+            continue
+        with open(os.path.join(directory, name), encoding="utf-8", errors="replace") as log:
+            lines = log.read().splitlines()
+        start = next((number for number, line in enumerate(lines)
+                      if "Sanitizer" in line or "runtime error:" in line), None)
+        if start is not None:
+            found += [f"{name}: {line}" for line in lines[start:start + most_lines]]
+    return found
+
+
 class Entry:
     def __init__(self, program, caller_port, admin_port, peer_port):
         self.program = program
--- a/testsuite/process_test.py
+++ b/testsuite/process_test.py
@@ -24,7 +24,8 @@
     def report_faults(self):
         outcome = self._outcome.result
         if any(test is self for test, _ in outcome.failures + outcome.errors):
-            print(f"logs of {self.id()}: {self.system.directory}", file=sys.stderr)
+            print(f"logs of {self.id()}: {self.system.directory}",
+                  *cluster.sanitizer_reports(self.system.directory), sep="\n", file=sys.stderr)
 
     def publish(self, document):
         path = os.path.join(self.system.directory, "document.json")
