Do not pass orders on to a worker's next incarnation

Cause: orders for an agent wait in one message until the store has taken the batch. If the worker had started anew meanwhile, the next order labelled the whole message as meant for the new incarnation, with the numbers of ends of the earlier one. The agent confirmed them to the worker, which forgot its own ends up to that number; their tasks ran again although they were done.

A new incarnation now begins a new message.

--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -51,9 +51,12 @@
 agent_orders &scheduler::ordersFor(worker &where)
 {
     agent_orders &orders = m_staged.orders[where.agent];
-    orders.workerStartMs = where.key.startMs;
-    if (orders.number == 0)
+    // Orders for an earlier incarnation have no meaning for the next one.
+    if (orders.number == 0 || orders.workerStartMs != where.key.startMs) {
+        orders = {};
+        orders.workerStartMs = where.key.startMs;
         orders.number = ++m_lastOrders;
+    }
     return orders;
 }
 
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -216,6 +216,26 @@
     requireSound(model);
 }
 
+// Orders wait for the store. The numbers of ends in them were taken for those of the worker's next
+// incarnation, which then forgot ends that nobody had noted, and their tasks ran again.
+BOOST_AUTO_TEST_CASE(ordersThatWaitedForTheStoreAreNotForTheNextIncarnation)
+{
+    fleet_model model(1);
+    model.run(1'000);
+    model.send(model.submission("a", 3));
+    model.run(300);
+    model.storeUp = false;
+    model.send(model.submission("b", 3)); // on its way to the store
+    model.run(1'000); // the tasks of the first job end
+    model.crashWorker(model.nodes[0]);
+    model.nodes[0].worker.restart();
+    model.run(1'000);
+    model.storeUp = true;
+    BOOST_TEST(model.runUntil("b", job_state::completed, 8'000));
+    BOOST_TEST(model.starts.size() == 6U);
+    requireSound(model);
+}
+
 BOOST_AUTO_TEST_CASE(aRestartedAgentAdoptsWhatItsWorkerRuns)
 {
     fleet_model model(2);
