Ask the advice service for tickets of queues that need them

Cause: starts on a queue with advice carry a ticket of the advice service; none was asked for.

advice_book decides what is asked about a step and which agent asks: the service handles one call of each VM at a time, so calls are spread. They are made while the step before runs. Jobs count as begun once a run of theirs was listed or has ended.

Ruled out: asking from the owner alone, which could ask about three steps a second at 300 ms a call.

--- a/src/include/plantainpitch/fleet/agent_process.h
+++ b/src/include/plantainpitch/fleet/agent_process.h
@@ -3,6 +3,7 @@
 #include "plantainpitch/fleet/member_endpoint.h"
 #include "plantainpitch/runtime/clock.h"
 #include "plantainpitch/runtime/event_log.h"
+#include "plantainpitch/sched/advice_port.h"
 #include "plantainpitch/sched/agent.h"
 #include "plantainpitch/sched/worker_port.h"
 
@@ -15,7 +16,7 @@
 {
 public:
     agent_process(boost::asio::io_context &context, sched::worker_port &worker,
-                  const runtime::clock &time, runtime::event_log &log,
+                  sched::advice_port &adviser, const runtime::clock &time, runtime::event_log &log,
                   const member_endpoint_options &options);
 
     void start() { m_endpoint.start(); }
@@ -31,6 +32,7 @@
     void flush();
 
     sched::worker_port &m_worker;
+    sched::advice_port &m_adviser;
     const runtime::clock &m_time;
     runtime::event_log &m_log;
     sched::agent m_agent;
--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -50,7 +50,11 @@
     /// To be called every 100 ms or so.
     void tick(instant now);
 
+    /// The advice service's answer to a request, or that there was none.
+    void onAdvice(advice content);
+
     std::vector<worker_call> takeCalls();
+    std::vector<advice_request> takeAdviceRequests();
     std::vector<agent_report> takeReports();
     std::vector<write_log> takeLogLines();
 
@@ -126,6 +130,7 @@
     std::uint64_t m_endsNoted = 0;
     std::vector<run_end> m_newEnds;
     std::vector<run_refusal> m_refusals;
+    std::vector<advice> m_advice; ///< for the next report
     bool m_listed = false; ///< a listing of this incarnation was read
     pacing m_pacing;
 
@@ -141,6 +146,7 @@
     instant m_lastComplete{};
 
     std::vector<worker_call> m_calls;
+    std::vector<advice_request> m_adviceRequests;
     std::vector<agent_report> m_reports;
     std::vector<write_log> m_logLines;
 };
--- a/src/include/plantainpitch/sched/fleet_config.h
+++ b/src/include/plantainpitch/sched/fleet_config.h
@@ -15,6 +15,7 @@
     std::uint32_t maxAttempts = 1; ///< runs of a task that may fail
     double stretch = 1; ///< objective: stretch times the longest chain of work ...
     std::uint32_t targetLatencyMs = 0; ///< ... and this much more
+    bool needsTickets = false; ///< only workers that the advice service names may run a step
 
     bool operator==(const queue_config &) const = default;
 };
--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -48,7 +48,8 @@
     std::vector<occurrence> occurrences; ///< those that are due
     job_outcome outcome = job_outcome::open;
     std::int64_t endedMs = 0; ///< wall clock
-    bool started = false; ///< some task was started
+    bool started = false; ///< some task was ordered to start
+    bool begun = false; ///< some task has run, as far as this owner has seen
     instant received{};
     instant objective{}; ///< full credit ends
     instant lastActive{}; ///< last pass at which a task was active; at first, the reception
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "plantainpitch/model/instant.h"
 #include "plantainpitch/role/action/write_log.h"
+#include "plantainpitch/sched/advice_book.h"
 #include "plantainpitch/sched/client_call_kind.h"
 #include "plantainpitch/sched/fleet_config.h"
 #include "plantainpitch/sched/job.h"
@@ -155,6 +156,8 @@
     [[nodiscard]] std::vector<worker *> candidates(const job &target, const queue_config &queue,
                                                    const occurrence &within, std::uint32_t step,
                                                    bool starved, instant now);
+    void askForTickets(const job &target, const queue_config &queue, const occurrence &within,
+                       std::uint32_t step, instant now);
     void placeGang(job &target, const queue_config &queue, occurrence &within, std::uint32_t step,
                    bool starved, instant now);
     [[nodiscard]] std::vector<worker *> planGang(const job &target, const occurrence &within,
@@ -171,6 +174,7 @@
     void describe(worker &where, const std::vector<std::string> &names);
     void describeFilling(worker &where);
     void watchProgress(worker &where, const agent_report &report, instant now);
+    void noteAdvice(const agent_report &report, instant now);
     void grant(const std::string &node, worker *where, const agent_report &report, instant now);
     [[nodiscard]] bool hasMajority() const;
     void dropLostWorkers(instant now);
@@ -183,6 +187,7 @@
     const placement_policy &m_placement;
     const waiting_order &m_order;
     disturbance_model &m_disturbances;
+    advice_book m_advice;
     fleet_config m_config;
     std::map<std::string, double> m_meanWork; ///< of recent jobs by queue, core-milliseconds
     std::map<std::string, queue_config> m_formerQueues; ///< of queues that were removed
--- a/src/include/plantainpitch/sched/task_name.h
+++ b/src/include/plantainpitch/sched/task_name.h
@@ -16,6 +16,8 @@
     std::uint32_t index = 0;
 
     [[nodiscard]] std::string text() const;
+    /// Name of the task's step: "<job>.<occurrence>.<step>".
+    [[nodiscard]] std::string stepText() const;
     /// Nothing if \a text is not a task name.
     static std::optional<task_name> parse(const std::string &text);
 
--- a/src/libfleet/agent_process.cpp
+++ b/src/libfleet/agent_process.cpp
@@ -3,9 +3,10 @@
 namespace plantainpitch::fleet {
 
 agent_process::agent_process(boost::asio::io_context &context, sched::worker_port &worker,
-                             const runtime::clock &time, runtime::event_log &log,
-                             const member_endpoint_options &options)
+                             sched::advice_port &adviser, const runtime::clock &time,
+                             runtime::event_log &log, const member_endpoint_options &options)
     : m_worker(worker)
+    , m_adviser(adviser)
     , m_time(time)
     , m_log(log)
     , m_agent({ .node = options.node })
@@ -60,6 +61,13 @@
             flush();
         });
     }
+    for (const sched::advice_request &request : m_agent.takeAdviceRequests()) {
+        m_adviser.ask(request, [this](sched::advice content) {
+            m_agent.onAdvice(std::move(content));
+            m_agent.tick(m_time.now());
+            flush();
+        });
+    }
     for (sched::agent_report &report : m_agent.takeReports())
         m_endpoint.send(sched::makeMessage(std::move(report)));
     for (const write_log &line : m_agent.takeLogLines())
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -105,6 +105,8 @@
     m_completeNow = true;
     m_reportNow = true;
     m_newEnds.clear();
+    m_adviceRequests.clear();
+    m_advice.clear();
     for (const auto &[number, end] : m_ends)
         m_newEnds.push_back(end);
     m_nextHold = now;
@@ -124,6 +126,8 @@
         const instant sent{ duration(orders.grantedUs) };
         m_authorityUntil = std::max(m_authorityUntil, sent + m_term);
     }
+    for (const auto &request : orders.questions)
+        m_adviceRequests.push_back(*request);
     if (orders.number == 0)
         return;
     m_ordersSeen = orders.number;
@@ -152,6 +156,12 @@
     }
 }
 
+void agent::onAdvice(advice content)
+{
+    m_advice.push_back(std::move(content));
+    m_reportNow = true;
+}
+
 void agent::refuse(const run_key &key, const std::string &reason)
 {
     m_runs.erase(key);
@@ -470,6 +480,9 @@
     for (run_refusal &refusal : m_refusals)
         content.refused.push_back(std::make_unique<run_refusal>(std::move(refusal)));
     m_refusals.clear();
+    for (advice &each : m_advice)
+        content.advised.push_back(std::make_unique<advice>(std::move(each)));
+    m_advice.clear();
     // Before the first listing, the agent cannot say what runs.
     const bool due = m_completeNow || now - m_lastComplete >= m_options.completeReportInterval;
     if (due && m_worker && (m_listed || m_lapsed)) {
@@ -512,6 +525,11 @@
     return std::exchange(m_calls, {});
 }
 
+std::vector<advice_request> agent::takeAdviceRequests()
+{
+    return std::exchange(m_adviceRequests, {});
+}
+
 std::vector<agent_report> agent::takeReports()
 {
     return std::exchange(m_reports, {});
--- a/src/libsched/fake_fleet_worker.h
+++ b/src/libsched/fake_fleet_worker.h
@@ -26,6 +26,7 @@
     sched::worker_info info;
     bool up = true;
     bool failsAll = false;
+    bool checksTickets = false; ///< starts only what carries ticketOf()
     bool standsStill = false; ///< answers, but no run gets on
     std::uint32_t usage = 0; ///< that all tasks report
     std::int64_t clockMs = 1'000;
@@ -38,6 +39,11 @@
 
     static constexpr std::int64_t stopMs = 100;
 
+    [[nodiscard]] std::string ticketOf(const std::string &step) const
+    {
+        return info.id + " may run " + step;
+    }
+
     void end(const std::string &task, sched::run_outcome outcome)
     {
         sched::run_end entry;
@@ -120,7 +126,11 @@
         const bool there = running.count(call.task) > 0 && running[call.task].run == call.run;
         if (there)
             return;
-        if (running.count(call.task) > 0 || call.run <= highestStopped[call.task]) {
+        const std::string step = call.task.substr(0, call.task.rfind('.'));
+        if (checksTickets && call.ticket != ticketOf(step)) {
+            reply.kind = sched::worker_reply_kind::refused;
+            reply.reason = "ticket";
+        } else if (running.count(call.task) > 0 || call.run <= highestStopped[call.task]) {
             reply.kind = sched::worker_reply_kind::refused;
             reply.reason = "old";
         } else if (call.leaseUntilMs <= clockMs) {
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -161,6 +161,9 @@
     std::uint64_t epoch = 0;
     std::deque<node> nodes;
     bool storeUp = true;
+    std::set<std::string> fitWorkers; ///< for which the advice service gives tickets
+    std::vector<sched::advice_request> advised; ///< requests that the service has got
+    static constexpr std::uint32_t ticketValidityMs = 2'000;
     std::map<std::string, std::string> stored;
     double lostAnswers = 0; ///< share of the calls to workers that are carried out 2 to 12 s late
     std::vector<std::string> violations;
@@ -218,6 +221,7 @@
 
     void stepNode(node &where);
     void stepCalls(node &where);
+    sched::advice adviseOn(const sched::advice_request &request);
     void stepOwner();
     void check();
     void noteStart(const std::string &task, std::uint32_t run, const sched::job *known);
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -79,6 +79,8 @@
         }
         where.calls.push_back(waiting);
     }
+    for (const sched::advice_request &request : where.agent->takeAdviceRequests())
+        where.agent->onAdvice(adviseOn(request));
     for (sched::agent_report &report : where.agent->takeReports()) {
         if (where.linked)
             where.toOwner.push_back(sched::makeMessage(std::move(report)));
@@ -90,6 +92,26 @@
     where.agent->takeLogLines();
 }
 
+sched::advice fleet_model::adviseOn(const sched::advice_request &request)
+{
+    advised.push_back(request);
+    sched::advice result;
+    result.step = request.step;
+    result.answered = true;
+    result.validityMs = ticketValidityMs;
+    for (const node &each : nodes) {
+        const std::string &id = each.worker.info.id;
+        const auto &asked = request.workers;
+        if (fitWorkers.count(id) == 0 || std::find(asked.begin(), asked.end(), id) == asked.end())
+            continue;
+        auto given = std::make_unique<sched::worker_ticket>();
+        given->worker = id;
+        given->text = each.worker.ticketOf(request.step);
+        result.good.push_back(std::move(given));
+    }
+    return result;
+}
+
 void fleet_model::stepCalls(node &where)
 {
     std::vector<node::waiting_call> calls;
--- /dev/null
+++ b/src/libsched/scheduler_advice_test.cpp
@@ -0,0 +1,84 @@
+#include "fleet_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+using sched::job_state;
+using test::fleet_model;
+
+namespace {
+
+/// Workers of the queue's service start nothing without a ticket.
+void requireTickets(fleet_model &model, const std::set<std::string> &fitWorkers)
+{
+    model.config.version = 2;
+    model.config.queues["batch"].needsTickets = true;
+    model.owner->setConfig(model.config);
+    model.fitWorkers = fitWorkers;
+    for (auto &each : model.nodes)
+        each.worker.checksTickets = true;
+    model.run(1'000);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(scheduler_advice)
+
+// Without tickets, all starts were refused and no job of such a queue ever ran.
+BOOST_AUTO_TEST_CASE(tasksRunOnTheWorkersThatHaveTickets)
+{
+    fleet_model model(4);
+    requireTickets(model, { "worker-node-1", "worker-node-2" });
+    model.send(model.submission("a", 6, 1'000, 2));
+    BOOST_TEST(model.runUntil("a", job_state::completed, 4'000));
+    BOOST_TEST(model.starts.size() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(ticketsAreAskedForWhileTheStepBeforeRuns)
+{
+    fleet_model model(2);
+    requireTickets(model, { "worker-node-0" });
+    model.send(model.submission("a", 2, 1'000, 2));
+    model.run(300); // tasks run for 700 ms
+    BOOST_TEST(model.advised.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ticketsThatHaveExpiredAreAskedForAgain)
+{
+    fleet_model model(1);
+    requireTickets(model, { "worker-node-0" });
+    model.send(model.submission("a", 20)); // more than run before the tickets expire
+    BOOST_TEST(model.runUntil("a", job_state::completed, 8'000));
+    BOOST_TEST(model.starts.size() == 20U);
+    BOOST_TEST(model.advised.size() >= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(workersThatMayNotRunAStepAreNotAskedAboutAgain)
+{
+    fleet_model model(2);
+    requireTickets(model, {});
+    model.send(model.submission("a", 1));
+    model.run(3'000);
+    BOOST_TEST(model.advised.size() == 1U);
+    BOOST_TEST(model.starts.empty());
+}
+
+// Clients take it for started, and an operator for a queue that keeps up.
+BOOST_AUTO_TEST_CASE(aJobWhoseStartsAreRefusedCountsAsPending)
+{
+    fleet_model model(1);
+    model.nodes[0].worker.checksTickets = true; // although the queue does not say so
+    model.run(1'000);
+    model.send(model.submission("a", 1));
+    model.run(600);
+    sched::client_call count;
+    count.kind = static_cast<std::uint8_t>(sched::call_kind::count_pending);
+    count.queue = "batch";
+    count.number = 7;
+    model.send(count);
+    model.run(50);
+    BOOST_REQUIRE(model.answers.count(7) == 1U);
+    BOOST_TEST(model.answers[7].pending == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -121,6 +121,7 @@
             --step.waiting;
         if (item.phase == task_phase::done)
             ++step.done;
+        target.begun = target.begun || item.phase == task_phase::done;
         if (item.phase != task_phase::active)
             continue;
         ++step.active;
@@ -213,6 +214,7 @@
             }
         }
     }
+    m_advice.forget(target.request.id);
     log(log_level::info, "job_ended",
         { { "job", target.request.id },
           { "outcome", outcome == job_outcome::completed ? "completed"
@@ -338,7 +340,7 @@
 {
     return static_cast<std::uint32_t>(
             std::count_if(m_open.begin(), m_open.end(), [&queue](const job *each) {
-                return each->request.queue == queue && !each->started && each->stored;
+                return each->request.queue == queue && !each->begun && each->stored;
             }));
 }
 
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -59,6 +59,24 @@
     return racks;
 }
 
+/// All tasks of the steps that \a step depends on have been started, so that its own turn comes
+/// soon.
+bool soonUnlocked(const job &target, const occurrence &within, std::uint32_t step)
+{
+    const auto &earlier = target.stepSpec(step).dependsOn;
+    return std::all_of(earlier.begin(), earlier.end(),
+                       [&within](std::uint32_t each) { return within.steps[each].waiting == 0; });
+}
+
+bool mayRun(const worker &where, const queue_config &queue, const step_spec &step, instant now)
+{
+    const auto &labels = where.labels;
+    return where.connected && where.ready && where.responsive && where.service == queue.service
+           && where.avoidUntil <= now
+           && (step.requiredLabel.empty()
+               || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
+}
+
 } // namespace
 
 std::vector<worker *> scheduler::candidates(const job &target, const queue_config &queue,
@@ -67,16 +85,14 @@
 {
     const step_spec &spec = target.stepSpec(step);
     const resources needed = reservation(spec);
+    const std::string name = task_name{ target.request.id, within.number, step, 0 }.stepText();
     std::vector<worker *> result;
     for (auto &[key, entry] : m_workers) {
         worker *const where = entry.get(); // lambdas cannot capture the names of a binding
-        if (!where->connected || !where->ready || !where->responsive
-            || where->service != queue.service || where->avoidUntil > now
-            || !needed.fits(where->room()) || !m_placement.admits(*where, spec, starved))
+        if (!mayRun(*where, queue, spec, now) || !needed.fits(where->room())
+            || !m_placement.admits(*where, spec, starved))
             continue;
-        const auto &labels = where->labels;
-        if (!spec.requiredLabel.empty()
-            && std::find(labels.begin(), labels.end(), spec.requiredLabel) == labels.end())
+        if (queue.needsTickets && !m_advice.ticketFor(name, key.id, now))
             continue;
         if (spec.maxPerVm > 0) {
             const auto &tasks = within.steps[step].tasks;
@@ -124,6 +140,9 @@
     order->fills = spec.fills;
     if (spec.fills)
         order->disturbance = static_cast<float>(disturbance(m_disturbances, where, spec));
+    const auto ticket = m_advice.ticketFor(
+            task_name{ target.request.id, within.number, step, 0 }.stepText(), where.key.id, now);
+    order->ticket = ticket.value_or(std::string());
     orders.starts.push_back(std::move(order));
     if (spec.targetMs > 0)
         describeFilling(where);
@@ -287,10 +306,46 @@
 {
     for (occurrence &within : target.occurrences) {
         for (std::uint32_t step = 0; step < within.steps.size(); ++step) {
-            if (within.steps[step].waiting > 0 && target.unlocked(within, step))
+            if (within.steps[step].waiting == 0)
+                continue;
+            const bool unlocked = target.unlocked(within, step);
+            if (queue.needsTickets && (unlocked || soonUnlocked(target, within, step)))
+                askForTickets(target, queue, within, step, now);
+            if (unlocked)
                 placeStep(target, queue, within, step, starved, now);
         }
     }
 }
 
+/// Has an agent ask which workers may run the step. The answer is not stored: a later owner asks
+/// again.
+void scheduler::askForTickets(const job &target, const queue_config &queue,
+                              const occurrence &within, std::uint32_t step, instant now)
+{
+    const std::string agent = m_advice.chooseAgent(m_connected);
+    if (agent.empty())
+        return;
+    const step_spec &spec = target.stepSpec(step);
+    std::vector<std::string> usable;
+    std::vector<std::string> others;
+    for (const auto &[key, where] : m_workers) {
+        if (!mayRun(*where, queue, spec, now))
+            continue;
+        const bool hasRoom =
+                reservation(spec).fits(where->room()) && m_placement.admits(*where, spec, false);
+        (hasRoom ? usable : others).push_back(key.id);
+    }
+    const std::string name = task_name{ target.request.id, within.number, step, 0 }.stepText();
+    const auto workers = m_advice.toAsk(name, usable, others, now);
+    if (workers.empty())
+        return;
+    m_advice.asked(name, agent, workers, now);
+    auto request = std::make_unique<advice_request>();
+    request->step = name;
+    request->workers = workers;
+    agent_orders orders;
+    orders.questions.push_back(std::move(request));
+    m_messages.push_back({ agent, makeMessage(std::move(orders)) });
+}
+
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -173,6 +173,7 @@
     logEnd(where, end, place, current, now);
     if (!current)
         return;
+    place.owner->begun = true;
     noteCheckpoint(place, end.checkpoint);
     const auto step = static_cast<std::uint32_t>(place.step - place.within->steps.data());
     const bool lasting = place.owner->stepSpec(step).longRunning;
@@ -202,6 +203,8 @@
     place.item->retryAt = now + refusalPause;
     if (refusal.reason == "room")
         where.avoidUntil = std::max(where.avoidUntil, now + refusingWorkerPause);
+    if (refusal.reason == "ticket")
+        m_advice.refused(task_name::parse(refusal.task)->stepText(), where.key.id);
     if (refusal.reason == "unhealthy")
         noteFailure(where, refusal.task, now);
 }
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -55,6 +55,7 @@
 void scheduler::agentClosed(const std::string &node, instant /*now*/)
 {
     m_connected.erase(node);
+    m_advice.agentLost(node);
     const auto found = m_workerByNode.find(node);
     if (found == m_workerByNode.end())
         return;
@@ -285,6 +286,7 @@
         noteCheckpoint(place, each->checkpoint);
         if (!place.item->seen) {
             place.item->seen = true;
+            place.owner->begun = true;
             unknownToAgent.push_back(each->task);
         }
     }
@@ -300,6 +302,7 @@
 {
     if (!m_loaded)
         return;
+    noteAdvice(report, now);
     if (report.worker)
         workerAt(node, *report.worker, now);
     const auto found = m_workerByNode.find(node);
@@ -333,6 +336,21 @@
     grant(node, &where, report, now);
 }
 
+void scheduler::noteAdvice(const agent_report &report, instant now)
+{
+    for (const auto &each : report.advised) {
+        if (!each->answered) {
+            m_advice.notAnswered(each->step, now);
+            continue;
+        }
+        std::vector<ticket_grant> good;
+        for (const auto &given : each->good)
+            good.push_back({ .worker = given->worker, .ticket = given->text });
+        m_advice.answered(each->step, good, std::chrono::milliseconds(each->validityMs), now);
+        m_roomChanged = true;
+    }
+}
+
 void scheduler::grant(const std::string &node, worker *where, const agent_report &report,
                       instant now)
 {
--- a/src/libsched/task_name.cpp
+++ b/src/libsched/task_name.cpp
@@ -25,8 +25,12 @@
 
 std::string task_name::text() const
 {
-    return job + '.' + std::to_string(occurrence) + '.' + std::to_string(step) + '.'
-           + std::to_string(index);
+    return stepText() + '.' + std::to_string(index);
+}
+
+std::string task_name::stepText() const
+{
+    return job + '.' + std::to_string(occurrence) + '.' + std::to_string(step);
 }
 
 std::optional<task_name> task_name::parse(const std::string &text)
