Give starved jobs their task before all others once no jobs come

The queue was drained by worth, so each processor that got free went to a job worth more; starved jobs were only helped with what was left over, and only if most processors were idle.

Starved jobs now get one task each before the others once no jobs have come for two seconds. The new test fails before and passes after.

--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -31,18 +31,6 @@
     return count;
 }
 
-/// More processors are left over than filling tasks use.
-bool mostlyIdle(const std::map<worker_key, std::unique_ptr<worker>> &workers)
-{
-    std::int64_t idle = 0;
-    std::int64_t filling = 0;
-    for (const auto &[key, where] : workers) {
-        idle += std::max<std::int64_t>(0, where->leftOverCpu());
-        filling += where->fillingCpu;
-    }
-    return idle > filling;
-}
-
 bool isActive(const job &target)
 {
     return std::any_of(target.occurrences.begin(), target.occurrences.end(), [](const auto &each) {
@@ -286,20 +274,27 @@
               [](const ranked &a, const ranked &b) { return a.rank < b.rank; });
     if (waiting.size() > maxJobsPerPass)
         waiting.resize(maxJobsPerPass);
-    for (const ranked &entry : waiting)
-        placeSteps(*entry.target, *entry.queue, false, now);
-    // While jobs come, those in a long queue would take room from jobs that can still be in time.
+    const auto helpStarved = [&] {
+        for (const ranked &entry : waiting) {
+            if (now - entry.target->lastActive >= starvedAfter)
+                placeSteps(*entry.target, *entry.queue, true, now);
+        }
+    };
+    for (const ranked &entry : waiting) {
+        if (isActive(*entry.target))
+            entry.target->lastActive = now;
+    }
     const bool queueIsShort = static_cast<double>(waiting.size())
                               <= shortQueue * static_cast<double>(m_workers.size());
+    // While jobs come, starved ones would take room from jobs that can still be in time; later,
+    // the jobs that are worth most would take all room from them.
     const bool drains = now - m_lastSubmission >= noSubmissionsFor;
-    const bool helpStarved = queueIsShort || (drains && mostlyIdle(m_workers));
-    for (const ranked &entry : waiting) {
-        job &target = *entry.target;
-        if (isActive(target))
-            target.lastActive = now;
-        if (helpStarved && now - target.lastActive >= starvedAfter)
-            placeSteps(target, *entry.queue, true, now);
-    }
+    if (drains)
+        helpStarved();
+    for (const ranked &entry : waiting)
+        placeSteps(*entry.target, *entry.queue, false, now);
+    if (queueIsShort && !drains)
+        helpStarved();
 }
 
 void scheduler::placeSteps(job &target, const queue_config &queue, bool starved, instant now)
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -312,6 +312,27 @@
         BOOST_TEST((model.shown("f" + std::to_string(i)) != job_state::queued));
 }
 
+// Late jobs stood still beside a long queue of jobs worth more, which took all room that got free.
+BOOST_AUTO_TEST_CASE(aStarvedJobComesFirstOnceNoJobsCome)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    const auto fill = [&model](const std::string &id, std::uint32_t tasks, std::uint32_t cpu) {
+        auto call = model.submission(id, tasks, cpu);
+        call.submitted->spec->steps[0]->fills = true;
+        model.send(call);
+    };
+    for (int i = 0; i < 40; ++i)
+        fill("small-" + std::to_string(i), 8, 1'000); // 28 seconds of work for both VMs
+    fill("large", 2, 4'000); // worth the least for its processors, needs a whole VM
+    for (int i = 0; i < 8; ++i) {
+        model.run(1'000);
+        if (model.shown("large") != job_state::queued)
+            break;
+    }
+    BOOST_TEST((model.shown("large") != job_state::queued));
+}
+
 BOOST_AUTO_TEST_CASE(fillingTasksStayAwayFromServingOnesWhileThereIsRoom)
 {
     fleet_model model(3);
