--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BUILD ?= build
 
 .PHONY: packages build format format-check lint test sanitize fuzz demo bench capacity soak
+.PHONY: fleet-soak
 .PHONY: settings mutations clean
 
 packages:
@@ -68,6 +69,12 @@
 	@$(BUILD)/matrix --mode=random --seed=$(SOAK_SEED) --seeds=100000 --minutes=60 \
 		--threads=$(JOBS) --time_limit_s=$(SOAK_SECONDS)
 
+# The programs of the users' platform on loopback under faults; SOAK_SEED is the first seed.
+FLEET_SEEDS ?= 50
+
+fleet-soak: build
+	@python3 testsuite/soak/fleet_soak.py --build=$(BUILD) --first=$(SOAK_SEED) --seeds=$(FLEET_SEEDS)
+
 # Takes out one mechanism at a time in a scratch copy; the test of its invariant has to fail.
 mutations: packages
 	@python3 testsuite/mutations.py --jobs=$(JOBS)
--- /dev/null
+++ b/testsuite/soak/promises.py
@@ -0,0 +1,132 @@
+"""What callers, workers and the store were promised, checked while the soak runs."""
+
+import threading
+import time
+from collections import defaultdict
+
+from worker import CAPACITY
+
+
+class Promises:
+    def __init__(self, jobs):
+        self._lock = threading.RLock()
+        self._jobs = jobs
+        self._runs = defaultdict(list)  # by task: records of all its runs
+        self.broken = []
+
+    def _break(self, rule, text):
+        self.broken.append(f"{rule} at {time.monotonic():.3f}: {text}")
+
+    def run_started(self, worker, run, request):
+        with self._lock:
+            now = time.monotonic()
+            name, occurrence, step, index = parse(run.task)
+            job = self._jobs.get(name)
+            if not job:
+                self._break("UNASKED", f"{run.task} of an unknown job")
+                return
+            job.started = True
+            if request["spec"] != job.document["spec"]:
+                self._break("UNASKED", f"{run.task} with another payload")
+            for earlier in self._runs[run.task]:
+                if earlier["ended"] is None:
+                    self._break("TWICE", f"{run.task}/{run.number} on {worker.name} beside run "
+                                         f"{earlier['number']} on {earlier['worker']}, which "
+                                         f"has run since {earlier['started']:.3f}")
+            self._runs[run.task].append({"number": run.number, "worker": worker.name,
+                                         "born": worker.born, "started": now, "ended": None,
+                                         "how": None, "end_number": None, "noted": False})
+            self._check_order(run, job, occurrence, step)
+            self._check_room(worker, run)
+
+    def _check_order(self, run, job, occurrence, step):
+        for earlier in job.document["steps"][step].get("depends_on", []):
+            for index in range(job.document["steps"][earlier]["count"]):
+                task = f"{job.name}.{occurrence}.{earlier}.{index}"
+                if not any(each["how"] == "done" for each in self._runs[task]):
+                    self._break("ORDER", f"{run.task} before {task}")
+                    return
+
+    def _check_room(self, worker, run):
+        steps = [self._jobs[parse(task)[0]].document["steps"][parse(task)[2]]
+                 for task in worker.running]
+        reserved = sum(step["cpu"] for step in steps if not step.get("fills"))
+        memory = sum(step["mem_mb"] for step in steps)
+        if reserved > CAPACITY["cpu"] or memory > CAPACITY["mem_mb"]:
+            self._break("LIMIT", f"{run.task} brings {worker.name} to {reserved} mcpu, "
+                                 f"{memory} MB")
+
+    def _find(self, worker, run):
+        return next(each for each in self._runs[run.task] if each["number"] == run.number
+                    and each["worker"] == worker.name and each["born"] == worker.born)
+
+    def run_ended(self, worker, run, how, number):
+        with self._lock:
+            record = self._find(worker, run)
+            record.update(ended=time.monotonic(), how=how, end_number=number)
+
+    def run_gone(self, worker, run):
+        """The worker has crashed."""
+        with self._lock:
+            record = self._find(worker, run)
+            record.update(ended=time.monotonic(), how="crashed")
+
+    def ends_noted(self, worker, number):
+        with self._lock:
+            for runs in self._runs.values():
+                for each in runs:
+                    if each["worker"] == worker.name and each["born"] == worker.born \
+                            and each["end_number"] and each["end_number"] <= number:
+                        each["noted"] = True
+
+    def working(self, job):
+        """Tasks of the job that run now."""
+        with self._lock:
+            return sum(1 for task, runs in self._runs.items() if parse(task)[0] == job.name
+                       and any(each["ended"] is None for each in runs))
+
+    def check_end(self, max_attempts):
+        """After the last disruption is over and all jobs have ended."""
+        with self._lock:
+            for task, runs in self._runs.items():
+                done = [each for each in runs if each["how"] == "done" and each["noted"]]
+                later = [each for each in runs
+                         if done and each["started"] > done[0]["ended"]]
+                if later:
+                    self._break("TWICE", f"{task} started again after its noted end")
+                failed = [each for each in runs if each["how"] == "failed" and each["noted"]]
+                job = self._jobs[parse(task)[0]]
+                lasting = job.document["steps"][parse(task)[2]].get("long_running")
+                if not lasting and len(failed) > max_attempts:
+                    self._break("BUDGET", f"{task} failed {len(failed)} times")
+
+    def check_state(self, job, state):
+        """`state` is what a daemon has shown of the job."""
+        with self._lock:
+            if state == "completed":
+                for step, spec in enumerate(job.document["steps"]):
+                    for index in range(spec["count"]):
+                        task = f"{job.name}.0.{step}.{index}"
+                        if not any(each["how"] == "done" for each in self._runs[task]):
+                            self._break("MIXED", f"{job.name} is completed without {task}")
+                            return
+            if state == "failed" and not job.hopeless:
+                self._break("LOST", f"{job.name} is shown as failed")
+            if state == "cancelled" and not job.cancelled:
+                self._break("LOST", f"{job.name} is shown as cancelled")
+            if state == "unknown" and job.accepted:
+                self._break("LOST", f"{job.name} is unknown after its acceptance")
+
+    def check_refused(self, job):
+        with self._lock:
+            if job.started and job.refused_only:
+                self._break("REFUSED", f"{job.name} runs though it was refused")
+
+    def broke(self, rule, text):
+        with self._lock:
+            self._break(rule, text)
+
+
+def parse(task):
+    job, occurrence, step, index = task.split(".")
+    return job, int(occurrence), int(step), int(index)
--- /dev/null
+++ b/testsuite/soak/worker.py
@@ -0,0 +1,253 @@
+"""Stand-in for a worker: runs tasks for as long as their leases last and lists their ends."""
+
+import http.client
+import json
+import random
+import threading
+import time
+
+from http_service import HttpService, NoAnswer
+
+HEARTBEAT_S = 0.5
+STOP_S = 0.15
+LONGEST_LEASE_S = 6.0
+LATE_S = (2.0, 4.0)  # after which an order without an answer is carried out
+CAPACITY = {"cpu": 8000, "mem_mb": 16000, "gpu": 0}
+
+
+class Run:
+    def __init__(self, task, number, checkpoint, work_s, now):
+        self.task, self.number = task, number
+        self.checkpoint = checkpoint
+        self.left_s = max(0.0, work_s - saved_s(checkpoint))
+        self.saved_s = saved_s(checkpoint)
+        self.percent = 100
+        self.advanced = now
+        self.stop_at = None
+        self.work_s = work_s
+
+
+def saved_s(checkpoint):
+    return int(checkpoint) / 1000 if checkpoint else 0.0
+
+
+class Worker:
+    """One worker. `promises` hears of each start and end; `plan(task)` says what a task is."""
+
+    def __init__(self, name, rack, address, node_address, promises, plan, seed):
+        self.name = name
+        self.rack = rack
+        self.address = address
+        self._node_address = node_address
+        self._promises = promises
+        self._plan = plan
+        self._random = random.Random(seed)
+        self._lock = threading.Condition()
+        self.late_orders = 0.0  # share of the orders without answer that are carried out later
+        self.hangs = False
+        self.speed = 1.0
+        self.draining = False
+        self.service = None
+        self._closed = False
+        self.boot()
+        threading.Thread(target=self._work, daemon=True).start()
+        threading.Thread(target=self._announce, daemon=True).start()
+
+    def boot(self):
+        """Starts a new incarnation, which knows nothing of before."""
+        with self._lock:
+            self.born = int(time.time() * 1000)
+            self.started = time.monotonic()
+            self.running = {}
+            self.ends = []
+            self.ends_count = 0
+            self.highest_run = {}
+            self.fence = 0
+            self.lease_until = 0.0
+            self.sequence = 0
+            self.late_orders, self.hangs, self.speed = 0.0, False, 1.0
+            self.service = HttpService(self.address, self._handle)
+
+    def crash(self):
+        with self._lock:
+            service, self.service = self.service, None
+            for run in self.running.values():
+                self._promises.run_gone(self, run)
+            self.running = {}
+        if service:
+            service.close()
+
+    def close(self):
+        self._closed = True
+        self.crash()
+
+    def clock_ms(self):
+        return int((time.monotonic() - self.started) * 1000)
+
+    def _handle(self, method, target, headers, body):
+        service = self.service
+        while self.hangs:
+            time.sleep(0.05)
+        if self.service is not service:
+            raise NoAnswer  # the call has reached an incarnation that is gone
+        request = json.loads(body)
+        if headers.get("X-Plantainpitch-Expect-Instance", self.name) != self.name:
+            return 421, {}
+        call = {"/-/run-start": self._start, "/-/run-stop": self._stop, "/-/hold": self._hold,
+                "/-/pace": self._pace}[target]
+        is_order = call in (self._start, self._stop)
+        if is_order and self._random.random() < self.late_orders:
+            born = self.born
+            threading.Timer(self._random.uniform(*LATE_S), self._carry_out_late,
+                            (call, request, born)).start()
+            raise NoAnswer
+        return call(request)
+
+    def _carry_out_late(self, call, request, born):
+        if self.born != born:
+            return
+        try:
+            call(request)
+        except NoAnswer:
+            pass  # has crashed meanwhile
+
+    def _lease(self, request):
+        if request.get("until_ms"):
+            until = self.started + request["until_ms"] / 1000
+            longest = time.monotonic() + LONGEST_LEASE_S
+            self.lease_until = max(self.lease_until, min(until, longest))
+
+    def _refused(self, reason):
+        return 409, {"clock_ms": self.clock_ms(), "reason": reason}
+
+    def _fenced(self, request):
+        fence = request.get("fence", 0)
+        if fence < self.fence:
+            return True
+        self.fence = fence
+        return False
+
+    def _start(self, request):
+        with self._lock:
+            if not self.service:
+                raise NoAnswer  # has crashed meanwhile
+            if self._fenced(request):
+                return self._refused("fence")
+            task, number = request["task"], request["run"]
+            held = self.running.get(task)
+            if held and held.number == number:
+                return 200, {"clock_ms": self.clock_ms()}
+            if request["until_ms"] <= self.clock_ms():
+                return self._refused("late")
+            self._lease(request)
+            if held or number <= self.highest_run.get(task, 0):
+                return self._refused("old")
+            run = Run(task, number, request.get("checkpoint", ""), self._plan(task)["work_s"],
+                      time.monotonic())
+            self.running[task] = run
+            self._promises.run_started(self, run, request)
+            self._lock.notify_all()
+            return 200, {"clock_ms": self.clock_ms()}
+
+    def _stop(self, request):
+        with self._lock:
+            if self._fenced(request):
+                return self._refused("fence")
+            task, number = request["task"], request["run"]
+            self.highest_run[task] = max(self.highest_run.get(task, 0), number)
+            run = self.running.get(task)
+            if run and run.number <= number and run.stop_at is None:
+                run.stop_at = time.monotonic() + STOP_S
+            return 200, {"clock_ms": self.clock_ms()}
+
+    def _pace(self, request):
+        with self._lock:
+            run = self.running.get(request["task"])
+            if self._fenced(request):
+                return self._refused("fence")
+            if run and run.number == request["run"]:
+                self._advance(time.monotonic())
+                run.percent = request["percent"]
+            return 200, {"clock_ms": self.clock_ms()}
+
+    def _hold(self, request):
+        deadline = time.monotonic() + request.get("wait_ms", 0) / 1000
+        with self._lock:
+            if self._fenced(request):
+                return self._refused("fence")
+            self._lease(request)
+            noted = request["last_seen"]
+            self._promises.ends_noted(self, noted)
+            self.ends = [end for end in self.ends if end[0] > noted]
+            while not self.ends and time.monotonic() < deadline:
+                self._lock.wait(deadline - time.monotonic())
+            rows = [[run.task, run.number, run.checkpoint, self._percent(run), self._figure(run)]
+                    for run in self.running.values()]
+            return 200, {"clock_ms": self.clock_ms(), "born": self.born, "running": rows,
+                         "ended": self.ends[:500]}
+
+    def _percent(self, run):
+        if run.work_s is None or run.work_s == float("inf"):
+            return 100
+        return int(100 * (run.work_s - run.left_s) / run.work_s)
+
+    def _figure(self, run):
+        spec = self._plan(run.task)["step"]
+        filling = sum(1 for each in self.running.values()
+                      if self._plan(each.task)["step"].get("fills"))
+        return 8 + 4 * filling if spec.get("target_ms") else spec["cpu"]
+
+    def _end(self, run, how):
+        del self.running[run.task]
+        self.highest_run[run.task] = max(self.highest_run.get(run.task, 0), run.number)
+        self.ends_count += 1
+        self.ends.append([self.ends_count, run.task, run.number, how, run.checkpoint])
+        self._promises.run_ended(self, run, how, self.ends_count)
+        self._lock.notify_all()
+
+    def _advance(self, now):
+        lapsed = now > self.lease_until
+        for run in list(self.running.values()):
+            plan = self._plan(run.task)
+            run.left_s -= (now - run.advanced) * self.speed * run.percent / 100
+            run.advanced = now
+            done_s = plan["work_s"] - run.left_s
+            if plan["step"].get("checkpointing") and done_s >= run.saved_s + 1:
+                run.saved_s = done_s
+                run.checkpoint = str(int(done_s * 1000))
+            if lapsed:
+                self._end(run, "lapsed")
+            elif run.left_s <= 0:
+                self._end(run, "failed" if plan["fails"](run.number) else "done")
+            elif run.stop_at is not None and now >= run.stop_at:
+                self._end(run, "stopped")
+
+    def _work(self):
+        while not self._closed:
+            time.sleep(0.02)
+            with self._lock:
+                self._advance(time.monotonic())
+
+    def report(self):
+        self.sequence += 1
+        return {"service": "soak", "address": f"{self.address[0]}:{self.address[1]}",
+                "zone": self.rack, "version": "v1", "slots": 8,
+                "state": "draining" if self.draining else "ready", "cold_left_ms": 0,
+                "capacity": CAPACITY, "labels": ["a", self.rack], "clock_ms": self.clock_ms(),
+                "seq_no": self.sequence, "born": self.born}
+
+    def _announce(self):
+        while not self._closed:
+            time.sleep(HEARTBEAT_S)
+            if not self.service or self.hangs:
+                continue
+            connection = http.client.HTTPConnection(*self._node_address, timeout=1)
+            try:
+                connection.request("PUT", f"/-/instances/{self.name}", json.dumps(self.report()))
+                connection.getresponse().read()
+            except OSError:
+                pass  # the node is down
+            except http.client.HTTPException:
+                pass  # the node was killed while it answered
+            finally:
+                connection.close()
