Stop the members of a gang of which one was refused

A member whose start is refused leaves the others waiting with their room until the platform's time for gangs is over, three seconds or more. They are stopped at once now, and the gang starts again as a whole. The new test fails before (the gang is not done within 3 s) and passes after.

--- a/src/libsched/scheduler_gang_test.cpp
+++ b/src/libsched/scheduler_gang_test.cpp
@@ -139,4 +139,22 @@
     BOOST_TEST(model.runUntil("g", job_state::failed, 1'000));
 }
 
+// The others held their room and waited for the refused member until their time was over.
+BOOST_AUTO_TEST_CASE(theMembersBesideARefusedOneAreStopped)
+{
+    fleet_model model(3);
+    model.run(1'000);
+    model.nodes[2].worker.checksTickets = true; // refuses what has no ticket
+    model.send(gang(model, "g", 3, 3'000));
+    model.run(400);
+    model.nodes[2].worker.checksTickets = false;
+    BOOST_TEST(model.runUntil("g", job_state::completed, 3'000));
+    BOOST_TEST(startsOf(model, "g") > 3U);
+    const sched::job *found = model.owner->findJob("g");
+    std::set<std::uint32_t> runs;
+    for (const sched::task &each : found->occurrences[0].steps[0].tasks)
+        runs.insert(each.run);
+    BOOST_TEST(runs.size() == 1U, "all members are of the same run");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -201,6 +201,7 @@
           { "reason", refusal.reason } });
     requeue(place);
     place.item->retryAt = now + refusalPause;
+    stopGang(place);
     if (refusal.reason == "room")
         where.avoidUntil = std::max(where.avoidUntil, now + refusingWorkerPause);
     if (refusal.reason == "ticket")
@@ -209,6 +210,23 @@
         noteFailure(where, refusal.task, now);
 }
 
+/// Stops what runs of a gang of which a member was refused: the others would hold their room and
+/// wait for it in vain.
+void scheduler::stopGang(const task_place &place)
+{
+    const auto step = static_cast<std::uint32_t>(place.step - place.within->steps.data());
+    if (!place.owner->stepSpec(step).gang)
+        return;
+    for (std::uint32_t index = 0; index < place.step->tasks.size(); ++index) {
+        const task &member = place.step->tasks[index];
+        const auto where = m_workers.find(member.place);
+        if (member.phase != task_phase::active || where == m_workers.end())
+            continue;
+        const task_name name{ place.owner->request.id, place.within->number, step, index };
+        orderStop(*where->second, name.text(), member.run);
+    }
+}
+
 void scheduler::loseRuns(worker &where, const char *reason)
 {
     if (!where.runs.empty()) {
