--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -171,15 +171,17 @@
     void removeEarlierIncarnations(const std::string &node, worker &current);
     worker &workerAt(const std::string &node, const worker_info &info, instant now);
     void reconcile(worker &where, const agent_report &report);
-    void learnDisturbances(worker &where, const agent_report &report, instant now);
-    void describe(worker &where, const std::vector<std::string> &names);
-    void describeFilling(worker &where);
-    void watchProgress(worker &where, const agent_report &report, instant now);
     void noteAdvice(const agent_report &report, instant now);
     void grant(const std::string &node, worker *where, const agent_report &report, instant now);
     [[nodiscard]] bool hasMajority() const;
     void dropLostWorkers(instant now);
 
+    // scheduler_sharing.cpp: what tasks beside each other do to each other
+    void learnDisturbances(worker &where, const agent_report &report, instant now);
+    void describe(worker &where, const std::vector<std::string> &names);
+    void describeFilling(worker &where);
+    void watchProgress(worker &where, const agent_report &report, instant now);
+
     void logState();
     void log(log_level level, const char *event,
              std::vector<std::pair<std::string, std::string>> fields);
