--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -49,9 +49,12 @@
             self._drop(writer)
             return
         self._writers.add(upstream[1])
-        await asyncio.gather(
-            self._forward(reader, upstream[1], lambda: self.cut_to_target),
-            self._forward(upstream[0], writer, lambda: self.cut_from_target))
+        try:
+            await asyncio.gather(
+                self._forward(reader, upstream[1], lambda: self.cut_to_target),
+                self._forward(upstream[0], writer, lambda: self.cut_from_target))
+        except asyncio.CancelledError:
+            pass  # the run is over
 
     async def _forward(self, reader, writer, is_cut):
         silent = False
