--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -104,10 +104,13 @@
         """Path of the queue that came with that version, which is at least 2."""
         return f"/queue-{version}/"
 
+    def _links(self):
+        return list(self.store_links.values()) + self.client_links + self.worker_links
+
     def heal(self):
         """Ends what is left of the faults."""
         self.store.heal()
-        for link in list(self.store_links.values()) + self.client_links + self.worker_links:
+        for link in self._links():
             link.heal()
 
     def close(self):
@@ -116,5 +119,7 @@
         for worker in self.workers:
             worker.close()
         self.store.service.close()
+        for link in self._links():
+            link.close()
         self._proxies.stop()
         self._reservation.close()
