Keep tickets of workers that an answer is not about; judge fitness by the call

Read in the diff: an answer cleared the tickets of workers that its call had not named, and a late answer of an earlier call marked the workers of the present call as unfit for good. Where all workers with a ticket were full, they were asked about again at every pass, which kept the advice service busy for nothing.

Tickets now have their own ends, answers name the workers of their call, and workers with a valid ticket are not asked about.

--- a/src/include/plantainpitch/sched/advice_book.h
+++ b/src/include/plantainpitch/sched/advice_book.h
@@ -30,8 +30,9 @@
     [[nodiscard]] std::optional<std::string>
     ticketFor(const std::string &step, const std::string &worker, instant now) const;
 
-    /// Workers to ask about now: none while a call is on its way, while there is a valid ticket for
-    /// one of \a usable, or if all are known to be unfit. \a others have no room at present.
+    /// Workers to ask about now, of those without a valid ticket that may be fit: none while a call
+    /// is on its way or there is a valid ticket for one of \a usable. \a others have no room at
+    /// present.
     [[nodiscard]] std::vector<std::string> toAsk(const std::string &step,
                                                  const std::vector<std::string> &usable,
                                                  const std::vector<std::string> &others,
@@ -40,12 +41,12 @@
     /// The one of \a agents that has the fewest calls to make; empty if all are busy.
     [[nodiscard]] std::string chooseAgent(const std::set<std::string> &agents) const;
 
-    void asked(const std::string &step, const std::string &agent,
-               const std::vector<std::string> &workers, instant now);
+    void asked(const std::string &step, const std::string &agent, instant now);
     /// The call failed or was turned away.
     void notAnswered(const std::string &step, instant now);
-    void answered(const std::string &step, const std::vector<ticket_grant> &good, duration validity,
-                  instant now);
+    /// \a workers are those that the call was about.
+    void answered(const std::string &step, const std::vector<std::string> &workers,
+                  const std::vector<ticket_grant> &good, duration validity, instant now);
     /// A worker has refused the ticket of the step.
     void refused(const std::string &step, const std::string &worker);
     /// Calls of that agent will not be answered any more.
@@ -54,14 +55,17 @@
     void forget(const std::string &job);
 
 private:
+    struct held_ticket
+    {
+        std::string text;
+        instant validUntil{};
+    };
     struct entry
     {
         std::string agent; ///< that has been told to ask; empty: none
-        std::vector<std::string> asking;
         instant askedAt{};
         instant retryAt{};
-        instant validUntil{};
-        std::map<std::string, std::string> tickets; ///< by worker
+        std::map<std::string, held_ticket> tickets; ///< by worker
         std::set<std::string> unfit; ///< workers that may not run the step
     };
 
--- a/src/libsched/advice_book.cpp
+++ b/src/libsched/advice_book.cpp
@@ -23,12 +23,12 @@
                                                   const std::string &worker, instant now) const
 {
     const auto found = m_steps.find(step);
-    if (found == m_steps.end() || now >= found->second.validUntil)
+    if (found == m_steps.end())
         return std::nullopt;
     const auto ticket = found->second.tickets.find(worker);
-    if (ticket == found->second.tickets.end())
+    if (ticket == found->second.tickets.end() || now >= ticket->second.validUntil)
         return std::nullopt;
-    return ticket->second;
+    return ticket->second.text;
 }
 
 std::vector<std::string> advice_book::toAsk(const std::string &step,
@@ -40,15 +40,15 @@
     const entry none;
     const entry &place = found == m_steps.end() ? none : found->second;
     const bool onItsWay = !place.agent.empty() && now - place.askedAt < callLostAfter;
-    const bool hasTicket = std::any_of(usable.begin(), usable.end(), [&](const auto &worker) {
-        return now < place.validUntil && place.tickets.count(worker) > 0;
-    });
-    if (onItsWay || hasTicket || now < place.retryAt)
+    const auto hasTicket = [&](const std::string &worker) {
+        return ticketFor(step, worker, now).has_value();
+    };
+    if (onItsWay || now < place.retryAt || std::any_of(usable.begin(), usable.end(), hasTicket))
         return {};
     std::vector<std::string> workers;
     for (const auto *list : { &usable, &others }) {
         for (const std::string &each : *list) {
-            if (place.unfit.count(each) == 0 && workers.size() < workersPerCall)
+            if (place.unfit.count(each) == 0 && !hasTicket(each) && workers.size() < workersPerCall)
                 workers.push_back(each);
         }
     }
@@ -70,13 +70,11 @@
     return best;
 }
 
-void advice_book::asked(const std::string &step, const std::string &agent,
-                        const std::vector<std::string> &workers, instant now)
+void advice_book::asked(const std::string &step, const std::string &agent, instant now)
 {
     entry &place = m_steps[step];
     callOver(place);
     place.agent = agent;
-    place.asking = workers;
     place.askedAt = now;
     ++m_callsByAgent[agent];
 }
@@ -87,7 +85,6 @@
     if (calls != m_callsByAgent.end() && --calls->second == 0)
         m_callsByAgent.erase(calls);
     place.agent.clear();
-    place.asking.clear();
 }
 
 void advice_book::notAnswered(const std::string &step, instant now)
@@ -99,21 +96,19 @@
     found->second.retryAt = now + retryPause;
 }
 
-void advice_book::answered(const std::string &step, const std::vector<ticket_grant> &good,
-                           duration validity, instant now)
+void advice_book::answered(const std::string &step, const std::vector<std::string> &workers,
+                           const std::vector<ticket_grant> &good, duration validity, instant now)
 {
     const auto found = m_steps.find(step);
     if (found == m_steps.end())
         return;
     entry &place = found->second;
-    place.unfit.insert(place.asking.begin(), place.asking.end());
-    // Earlier tickets end earlier than these.
-    place.tickets.clear();
+    place.unfit.insert(workers.begin(), workers.end());
     for (const ticket_grant &each : good) {
-        place.tickets[each.worker] = each.ticket;
+        place.tickets[each.worker] = { .text = each.ticket,
+                                       .validUntil = now + validity - validityMargin };
         place.unfit.erase(each.worker);
     }
-    place.validUntil = now + validity - validityMargin;
     callOver(place);
 }
 
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -98,6 +98,7 @@
     sched::advice result;
     result.step = request.step;
     result.answered = true;
+    result.asked = request.workers;
     result.validityMs = ticketValidityMs;
     for (const node &each : nodes) {
         const std::string &id = each.worker.info.id;
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -334,7 +334,7 @@
     const auto workers = m_advice.toAsk(name, usable, others, now);
     if (workers.empty())
         return;
-    m_advice.asked(name, agent, workers, now);
+    m_advice.asked(name, agent, now);
     auto request = std::make_unique<advice_request>();
     request->step = name;
     request->workers = workers;
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -212,7 +212,8 @@
         std::vector<ticket_grant> good;
         for (const auto &given : each->good)
             good.push_back({ .worker = given->worker, .ticket = given->text });
-        m_advice.answered(each->step, good, std::chrono::milliseconds(each->validityMs), now);
+        m_advice.answered(each->step, each->asked, good,
+                          std::chrono::milliseconds(each->validityMs), now);
         m_roomChanged = true;
     }
 }
