Fail no job while the configuration is not known

Cause: an owner that had no configuration yet took the largest number of attempts for one, and a job of which one run had failed was shown as failed. In the log the partition is taken, one run ends with outcome 1 and the job is failed in the same millisecond, without a configuration in force there.

Ruled out: ends that are counted twice; the task had one failed run.

Attempts are judged once the configuration is known, also for failures counted before.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -142,6 +142,7 @@
     void requeue(const task_place &place);
     void release(worker &where, const std::string &name, std::uint32_t run);
     void orderStop(worker &where, const std::string &name, std::uint32_t run);
+    void failIfExhausted(job &target);
     void stopGang(const task_place &place);
     void noteCheckpoint(const task_place &place, const std::string &checkpoint);
     void loseRuns(worker &where, const char *reason);
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -88,6 +88,9 @@
                                                             + queue->targetLatencyMs);
         }
     }
+    const auto open = m_open; // ending a job takes it out
+    for (job *target : open)
+        failIfExhausted(*target);
     m_roomChanged = true;
 }
 
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -120,10 +120,31 @@
     requeue(place);
     if (place.owner->ended())
         return;
-    const queue_config *queue = queueOf(*place.owner);
-    const std::uint32_t attempts = queue ? queue->maxAttempts : 1;
-    if (!spec.longRunning && place.item->failures >= attempts)
-        endJob(*place.owner, job_outcome::failed);
+    failIfExhausted(*place.owner);
+}
+
+/// Ends a job of which a task has failed as often as its queue allows. Without a configuration, how
+/// often that is will be known later; nothing starts until then.
+void scheduler::failIfExhausted(job &target)
+{
+    const queue_config *queue = queueOf(target);
+    if (!queue)
+        return;
+    for (const occurrence &within : target.occurrences) {
+        for (std::uint32_t step = 0; step < within.steps.size(); ++step) {
+            const auto &tasks = within.steps[step].tasks;
+            const bool exhausted =
+                    !target.stepSpec(step).longRunning
+                    && std::any_of(tasks.begin(), tasks.end(), [queue](const task &each) {
+                           return each.phase == task_phase::waiting
+                                  && each.failures >= queue->maxAttempts;
+                       });
+            if (exhausted) {
+                endJob(target, job_outcome::failed);
+                return;
+            }
+        }
+    }
 }
 
 void scheduler::logEnd(const worker &where, const run_end &end, const task_place &place,
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -113,6 +113,46 @@
     BOOST_TEST(model.starts.size() == 3U);
 }
 
+// An owner that had no configuration yet took one failed run for the last that was allowed.
+BOOST_AUTO_TEST_CASE(anOwnerWithoutConfigurationFailsNoJob)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    model.send(model.submission("a", 2));
+    model.run(300);
+    for (auto &each : model.nodes)
+        each.worker.failsAll = true;
+    const sched::fleet_config known = model.config;
+    model.config = {};
+    model.newOwner();
+    model.run(1'500); // the runs fail
+    BOOST_TEST((model.shown("a") != job_state::failed));
+    for (auto &each : model.nodes)
+        each.worker.failsAll = false;
+    model.config = known;
+    model.owner->setConfig(known);
+    BOOST_TEST(model.runUntil("a", job_state::completed, 4'000));
+}
+
+// Failures that were counted meanwhile are the last ones once the configuration says so.
+BOOST_AUTO_TEST_CASE(aJobWithoutAttemptsLeftFailsWhenTheConfigurationIsKnown)
+{
+    fleet_model model(1);
+    model.config.queues["batch"].maxAttempts = 1;
+    model.newOwner();
+    model.run(1'000);
+    model.send(model.submission("a", 1));
+    model.run(300);
+    model.nodes[0].worker.failsAll = true;
+    const sched::fleet_config known = model.config;
+    model.config = {};
+    model.newOwner();
+    model.run(1'500);
+    model.owner->setConfig(known);
+    BOOST_TEST(model.runUntil("a", job_state::failed, 1'000));
+    BOOST_TEST(model.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aCancelledJobIsStoppedAndStartsNothing)
 {
     fleet_model model(1);
