Wait for the leases of an earlier agent process before a worker counts as lost

Cause, from the fault log: all processes were killed while the link to worker-1 was cut. The new agent sent its first look at the worker before it had a grant, so it knew of no lease; the first missing answer then counted as the proof that all leases had ended, and the owner started the runs elsewhere while the worker ran them on.

Ruled out: an owner with stale records (each run number was higher than the one before), refused connections (the cut link takes connections).

An agent now assumes that its predecessor granted a full term just before the worker's first announcement.

--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -62,6 +62,9 @@
         m_holdOnItsWay = false;
         ++m_holdNumber;
         m_nextHold = now;
+        // An agent before this one may have granted a lease just before it ended.
+        if (!m_worker)
+            m_leasedUntil = now + m_term;
     }
     if (clockMs > 0 && m_workerClockMs == 0) {
         m_workerClockMs = clockMs;
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace plantainpitch;
 using std::chrono::milliseconds;
 
@@ -241,4 +243,37 @@
     BOOST_TEST(f.nextHold().endsNoted == 0U);
 }
 
+// Guards against a run in two places (soak seed 1006): an agent that had just started anew took its
+// first call without answer for the proof that the leases of its predecessor had ended.
+BOOST_AUTO_TEST_CASE(aRestartedAgentWaitsForTheLeasesOfItsPredecessor)
+{
+    instant now{ milliseconds(1'000'000) };
+    const instant start = now;
+    sched::agent subject{ { .node = "n" } };
+    sched::worker_info info;
+    info.id = "w";
+    info.startMs = 5;
+    info.ready = true;
+    subject.workerAnnounced(info, 1'000, now);
+    sched::owner_hello hello;
+    hello.epoch = 3;
+    hello.termMs = 5'500;
+    BOOST_TEST(subject.ownerOpened(hello, now));
+    const auto lapsesAt = [&](instant at) {
+        now = at;
+        subject.tick(now);
+        sched::worker_reply reply;
+        reply.kind = sched::worker_reply_kind::unanswered;
+        for (const sched::worker_call &call : subject.takeCalls())
+            subject.onReply(call, reply, now);
+        subject.tick(now);
+        const auto reports = subject.takeReports();
+        return std::any_of(reports.begin(), reports.end(),
+                           [](const sched::agent_report &report) { return report.lapsed; });
+    };
+    BOOST_TEST(!lapsesAt(start));
+    BOOST_TEST(!lapsesAt(start + milliseconds(5'400)));
+    BOOST_TEST(lapsesAt(start + milliseconds(6'500)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
