Close a connection that becomes idle after the server was stopped

Cause: closeWhenIdle() did nothing for a connection whose response was being written, and the response had been marked as keep-alive before the stop, so the connection stayed open for the idle timeout of 60 s.

A handler that stops the server within its answer hits that moment: the new test failed before (connection open for over 5 s) and passes now. A second new test covers a request that arrives together with the stop; it passed before as well.

--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -96,16 +96,21 @@
 {
     asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
         self->m_keepAlive = false;
-        error_code code;
-        if (self->m_phase != phase::idle || self->m_socket.available(code) > 0)
-            return;
-        if (self->m_requestNumber == 0)
-            self->setDeadline(self->m_shared->options.firstRequestTime);
-        else
-            self->close();
+        self->closeIfIdle();
     });
 }
 
+void http_connection::closeIfIdle()
+{
+    error_code code;
+    if (m_phase != phase::idle || m_socket.available(code) > 0)
+        return;
+    if (m_requestNumber == 0)
+        setDeadline(m_shared->options.firstRequestTime);
+    else
+        close();
+}
+
 void http_connection::abort()
 {
     asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
@@ -311,12 +316,18 @@
     }
     if (m_phase == phase::closed)
         return;
-    if (code)
+    if (code) {
         close();
-    else if (keep)
-        nextRequest();
-    else
+        return;
+    }
+    if (!keep) {
         finishClosing();
+        return;
+    }
+    nextRequest();
+    // closeWhenIdle() has come while the response was being written.
+    if (!m_keepAlive)
+        closeIfIdle();
 }
 
 void http_connection::fail(http_response response)
--- a/src/libruntime/http_connection.h
+++ b/src/libruntime/http_connection.h
@@ -41,6 +41,7 @@
     enum class phase { idle, reading, handling, writing, closing, closed };
 
     void nextRequest();
+    void closeIfIdle();
     void readSome();
     void onRead(const boost::system::error_code &code, std::size_t bytes);
     void onReadError();
--- a/src/libruntime/http_server_test.cpp
+++ b/src/libruntime/http_server_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+
 using namespace plantainpitch;
 using namespace plantainpitch::runtime;
 using namespace plantainpitch::runtime::test;
@@ -23,6 +25,22 @@
     http_server server;
 };
 
+/// Answers and stops the server within the same call.
+class stopping_handler : public http_handler
+{
+public:
+    void onRequest(std::uint64_t /*number*/, http_request /*request*/,
+                   http_responder respond) override
+    {
+        respond({});
+        server->stopAccepting();
+    }
+
+    void onClientGone(std::uint64_t /*number*/) override {}
+
+    http_server *server = nullptr;
+};
+
 bool contains(const std::string &text, const std::string &part)
 {
     return text.find(part) != std::string::npos;
@@ -158,6 +176,49 @@
     BOOST_CHECK_THROW(raw_socket(f.server.port()), boost::system::system_error);
 }
 
+// Guards against a connection that stays open for the idle timeout because the stop came between
+// the writing of a response and its completion. A handler that stops the server hits that moment.
+BOOST_AUTO_TEST_CASE(stopDuringTheWritingOfAResponseClosesTheConnection)
+{
+    stopping_handler handler;
+    running_context running;
+    http_server server(running.context, {}, handler);
+    handler.server = &server;
+    server.start();
+    raw_socket socket(server.port());
+    socket.send(plainGet);
+    const auto begin = std::chrono::steady_clock::now();
+    BOOST_TEST(contains(socket.receiveAll(), "HTTP/1.1 200"));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 5s));
+}
+
+// Guards against a stop that cuts a request whose bytes were read, but not handled yet. The context
+// is polled by hand, so that the read and the stop are always in the same round.
+BOOST_AUTO_TEST_CASE(stopAnswersARequestThatHasJustBeenRead)
+{
+    echo_handler handler;
+    boost::asio::io_context context;
+    http_server server(context, {}, handler);
+    server.start();
+    raw_socket socket(server.port());
+    const auto pollUntil = [&context](const std::function<bool()> &condition) {
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            context.poll();
+    };
+    socket.send(plainGet);
+    pollUntil([&handler] { return handler.requests() == 1; });
+    context.poll();
+    socket.receiveUntil("GET /a ");
+    socket.send(plainGet);
+    std::this_thread::sleep_for(50ms); // loopback delivers before the stop
+    server.stopAccepting();
+    pollUntil([&handler] { return handler.requests() == 2; });
+    BOOST_TEST(handler.requests() == 2U);
+    pollUntil([&server] { return server.openRequests() == 0; });
+    BOOST_TEST(contains(socket.receiveUntil("GET /a "), "Connection: close"));
+}
+
 // Guards against an exception that ends the process or leaves the caller without a response.
 BOOST_AUTO_TEST_CASE(throwingHandlerIsAnsweredWithAnError)
 {
