--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # Front end to CMake and CTest; each target does its own set-up on a fresh machine.
 JOBS ?= $(shell nproc)
+# Tests at a time. Half of the processors: some tests check times.
+TEST_JOBS ?= 3
 BUILD ?= build
 
 .PHONY: packages build format format-check lint test sanitize fuzz demo bench capacity soak
@@ -24,14 +26,14 @@
 
 test: format-check build lint
 	@grep '^test:' KNOWN-RED.txt || true
-	@ctest --test-dir $(BUILD) --output-on-failure --timeout 300 \
+	@ctest --test-dir $(BUILD) -j $(TEST_JOBS) --output-on-failure --timeout 300 \
 		-E "^($$(sed -n 's/^test:\([a-z_]*\) .*/\1/p' KNOWN-RED.txt | paste -sd'|'))$$"
 
 sanitize: packages
 	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DPLANTAIN_SANITIZE=ON >/dev/null
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@grep '^sanitize:' KNOWN-RED.txt || true
-	@ctest --test-dir $(BUILD)-sanitize --output-on-failure --timeout 900 \
+	@ctest --test-dir $(BUILD)-sanitize -j $(TEST_JOBS) --output-on-failure --timeout 900 \
 		-E "^($$(sed -n 's/^sanitize:\([a-z_]*\) .*/\1/p' KNOWN-RED.txt | paste -sd'|'))$$"
 
 demo: build
