Move paced-down filling runs to a VM with room

Cause: a step waits for its slowest task.

A run with a checkpoint that may work at 40 % at most in two reports in a row is stopped if another VM admits it and it would be done 1.5 times sooner there.

The new test does not end without the move and passes with it.

--- a/src/include/plantainpitch/sched/progress_watch.h
+++ b/src/include/plantainpitch/sched/progress_watch.h
@@ -29,6 +29,8 @@
     /// All batch runs that work there, at a report.
     void observe(const std::vector<run_progress> &runs, instant now);
 
+    /// Share at which the run might work at the last report; 1 if it was not there.
+    [[nodiscard]] double lastPace(const std::string &task) const;
     /// Work done for each second of running; 1 if there is no evidence.
     [[nodiscard]] double speed() const;
     /// Runs of several jobs hardly get on, or none has got on at all.
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -181,6 +181,7 @@
     void learnDisturbances(worker &where, const agent_report &report, instant now);
     void describe(worker &where, const std::vector<std::string> &names);
     void describeFilling(worker &where);
+    void movePacedRun(worker &where, const std::vector<run_progress> &working, instant now);
     void watchProgress(worker &where, const agent_report &report, instant now);
 
     void logState();
--- a/src/libsched/progress_watch.cpp
+++ b/src/libsched/progress_watch.cpp
@@ -53,6 +53,12 @@
     m_jobs = std::move(jobs);
 }
 
+double progress_watch::lastPace(const std::string &task) const
+{
+    const auto found = m_last.find(task);
+    return found == m_last.end() ? 1 : found->second.pace;
+}
+
 double progress_watch::speed() const
 {
     return m_expectedMs < leastEvidenceMs ? 1 : m_doneMs / m_expectedMs;
--- a/src/libsched/scheduler_sharing.cpp
+++ b/src/libsched/scheduler_sharing.cpp
@@ -11,6 +11,10 @@
 constexpr std::chrono::milliseconds slowWorkerPause{ 2'500 };
 /// A run is moved off a slow worker if it would be done there this many times later.
 constexpr double worthMoving = 1.5;
+/// Assumed of runs that may hardly work at all.
+constexpr double leastPace = 0.1;
+/// A run that may work at most at this share in two reports in a row is better off on another VM.
+constexpr double pacedDown = 0.4;
 /// Time that a move takes: the stop, the report of it and the start elsewhere.
 constexpr double moveMs = 1'200;
 
@@ -97,6 +101,40 @@
     }
 }
 
+/// Moves a filling run that is paced down to another VM if it would be done much sooner there: a
+/// step waits for its slowest task. One run for each report, because the others then get its share.
+void scheduler::movePacedRun(worker &where, const std::vector<run_progress> &working, instant now)
+{
+    for (const run_progress &each : working) {
+        if (each.pace > pacedDown || where.progress.lastPace(each.task) > pacedDown)
+            continue;
+        const task_place place = find(each.task);
+        const std::uint32_t step = task_name::parse(each.task)->step;
+        const step_spec &spec = place.owner->stepSpec(step);
+        const queue_config *queue = queueOf(*place.owner);
+        const auto held = where.runs.find(each.task);
+        const double leftMs = std::max(0.0, spec.estimateMs - each.doneMs);
+        const bool worthIt =
+                leftMs / std::max(each.pace, leastPace) >= worthMoving * (moveMs + leftMs);
+        if (!queue || !spec.checkpointing || !worthIt || held == where.runs.end()
+            || held->second.stopOrdered)
+            continue;
+        const auto elsewhere = candidates(*place.owner, *queue, *place.within, step, false, now);
+        const bool possible =
+                std::any_of(elsewhere.begin(), elsewhere.end(),
+                            [&where](const worker *other) { return other != &where; });
+        if (!possible)
+            continue;
+        log(log_level::info, "run_moved",
+            { { "task", each.task },
+              { "worker", where.key.id },
+              { "left_ms", std::to_string(static_cast<int>(leftMs)) },
+              { "reason", "paced_down" } });
+        orderStop(where, each.task, held->second.run);
+        return;
+    }
+}
+
 /// Keeps new tasks away from a worker whose batch runs hardly get on, and moves those runs that
 /// would be done much sooner elsewhere.
 void scheduler::watchProgress(worker &where, const agent_report &report, instant now)
@@ -113,6 +151,7 @@
                                 .doneMs = each->percent / 100.0 * spec.estimateMs,
                                 .pace = each->pace / 100.0 });
     }
+    movePacedRun(where, working, now);
     where.progress.observe(working, now);
     if (!where.progress.slow())
         return;
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace plantainpitch;
 using sched::job_state;
 using test::fleet_model;
@@ -396,6 +398,46 @@
     BOOST_TEST(servingVms == 1U);
 }
 
+// Guards against steps that wait for one task which hardly works beside a serving one, although
+// another VM has become free.
+BOOST_AUTO_TEST_CASE(aPacedDownRunMovesToAVmWithRoom)
+{
+    fleet_model model(2);
+    const auto setUsage = [&model](std::uint32_t usage) {
+        for (auto &each : model.nodes)
+            each.worker.usage = usage;
+    };
+    const auto find = [&model](const std::string &task) {
+        return std::find_if(model.nodes.begin(), model.nodes.end(), [&task](const auto &each) {
+            return each.worker.running.count(task) > 0;
+        });
+    };
+    setUsage(10);
+    model.run(1'000);
+    auto serving = model.submission("s", 1);
+    serving.submitted->spec->steps[0]->longRunning = true;
+    serving.submitted->spec->steps[0]->targetMs = 50;
+    model.send(serving);
+    model.run(300);
+    const auto servingVm = find("s.0.0.0");
+    BOOST_REQUIRE(servingVm != model.nodes.end());
+    servingVm->worker.running.at("s.0.0.0").leftMs = 60'000;
+    model.run(1'500); // until its figures are reported
+    model.send(model.submission("all-of-the-other-vm", 1, 4'000));
+    model.run(100);
+    auto filling = model.submission("f", 1);
+    filling.submitted->spec->steps[0]->fills = true;
+    filling.submitted->spec->steps[0]->checkpointing = true;
+    filling.submitted->spec->steps[0]->estimateMs = 10'000;
+    model.send(filling);
+    model.run(200);
+    BOOST_REQUIRE((find("f.0.0.0") == servingVm));
+    servingVm->worker.running.at("f.0.0.0").leftMs = 60'000;
+    setUsage(75); // over the target of 50 ms
+    BOOST_TEST(model.runUntil("f", job_state::completed, 6'000));
+    requireSound(model);
+}
+
 // A burst of more work than room: ordered by deadline, the room goes to jobs that all end late.
 BOOST_AUTO_TEST_CASE(inABurstWorthOrderServesMoreJobsInTimeThanDeadlineOrder)
 {
