--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -84,7 +84,8 @@
     if (!m_worker || m_worker->id != id)
         return;
     log(log_level::info, "worker_left", { { "worker", id } });
-    forgetRuns();
+    // Ends that it has listed still have to reach an owner.
+    m_runs.clear();
     m_worker->ready = false;
     m_workerReported = false;
     m_responsive = false;
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -276,4 +276,32 @@
     BOOST_TEST(lapsesAt(start + milliseconds(6'500)));
 }
 
+// Guards against tasks that run again after their end: it was listed while no owner was connected,
+// and the worker left before the next owner came.
+BOOST_AUTO_TEST_CASE(endsThatAWorkerListedAreReportedAfterItHasLeft)
+{
+    granted_agent f;
+    f.listNothing(5);
+    f.subject.ownerClosed(f.now);
+    f.subject.takeReports();
+    sched::worker_listing listing;
+    listing.startMs = 5;
+    listing.ended.emplace_back();
+    listing.ended.back().number = 1;
+    listing.ended.back().task = "a.0.0.0";
+    listing.ended.back().run = 1;
+    f.list(listing);
+    f.subject.workerLeft("w", f.now);
+    sched::owner_hello hello;
+    hello.epoch = 4;
+    hello.termMs = 5'500;
+    BOOST_TEST(f.subject.ownerOpened(hello, f.now));
+    f.subject.tick(f.now);
+    const auto reports = f.subject.takeReports();
+    BOOST_REQUIRE(!reports.empty());
+    BOOST_TEST(reports.front().lapsed);
+    BOOST_REQUIRE(reports.front().ended.size() == 1U);
+    BOOST_TEST(reports.front().ended.front()->task == "a.0.0.0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
