Move runs by one function

Moving a run off a slow worker and off a VM that paces it down wrote the same line and gave the same order twice. movePacedRun() was also too long: the question whether another worker has room is a function of its own, and is asked last, because it looks at all workers.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -181,6 +181,9 @@
     void learnDisturbances(worker &where, const agent_report &report, instant now);
     void describe(worker &where, const std::vector<std::string> &names);
     void describeFilling(worker &where);
+    void moveRun(worker &where, const run_progress &run, double leftMs, const char *reason);
+    [[nodiscard]] bool hasRoomElsewhere(const worker &where, const task_place &place,
+                                        std::uint32_t step, instant now);
     void movePacedRun(worker &where, const std::vector<run_progress> &working, instant now);
     void watchProgress(worker &where, const agent_report &report, instant now);
 
--- a/src/libsched/scheduler_sharing.cpp
+++ b/src/libsched/scheduler_sharing.cpp
@@ -101,37 +101,47 @@
     }
 }
 
+void scheduler::moveRun(worker &where, const run_progress &run, double leftMs, const char *reason)
+{
+    log(log_level::info, "run_moved",
+        { { "task", run.task },
+          { "worker", where.key.id },
+          { "left_ms", std::to_string(static_cast<int>(leftMs)) },
+          { "reason", reason } });
+    orderStop(where, run.task, where.runs.at(run.task).run);
+}
+
+/// Whether another worker would take a task of that step now.
+bool scheduler::hasRoomElsewhere(const worker &where, const task_place &place, std::uint32_t step,
+                                 instant now)
+{
+    const queue_config *queue = queueOf(*place.owner);
+    if (!queue)
+        return false;
+    const auto usable = candidates(*place.owner, *queue, *place.within, step, false, now);
+    return std::any_of(usable.begin(), usable.end(),
+                       [&where](const worker *other) { return other != &where; });
+}
+
 /// Moves a filling run that is paced down to another VM if it would be done much sooner there: a
 /// step waits for its slowest task. One run for each report, because the others then get its share.
 void scheduler::movePacedRun(worker &where, const std::vector<run_progress> &working, instant now)
 {
     for (const run_progress &each : working) {
-        if (each.pace > pacedDown || where.progress.lastPace(each.task) > pacedDown)
+        const auto held = where.runs.find(each.task);
+        if (each.pace > pacedDown || where.progress.lastPace(each.task) > pacedDown
+            || held == where.runs.end() || held->second.stopOrdered)
             continue;
         const task_place place = find(each.task);
         const std::uint32_t step = task_name::parse(each.task)->step;
         const step_spec &spec = place.owner->stepSpec(step);
-        const queue_config *queue = queueOf(*place.owner);
-        const auto held = where.runs.find(each.task);
         const double leftMs = std::max(0.0, spec.estimateMs - each.doneMs);
-        const bool worthIt =
-                leftMs / std::max(each.pace, leastPace) >= worthMoving * (moveMs + leftMs);
-        if (!queue || !spec.checkpointing || !worthIt || held == where.runs.end()
-            || held->second.stopOrdered)
-            continue;
-        const auto elsewhere = candidates(*place.owner, *queue, *place.within, step, false, now);
-        const bool possible =
-                std::any_of(elsewhere.begin(), elsewhere.end(),
-                            [&where](const worker *other) { return other != &where; });
-        if (!possible)
-            continue;
-        log(log_level::info, "run_moved",
-            { { "task", each.task },
-              { "worker", where.key.id },
-              { "left_ms", std::to_string(static_cast<int>(leftMs)) },
-              { "reason", "paced_down" } });
-        orderStop(where, each.task, held->second.run);
-        return;
+        const double hereMs = leftMs / std::max(each.pace, leastPace);
+        if (spec.checkpointing && hereMs >= worthMoving * (moveMs + leftMs)
+            && hasRoomElsewhere(where, place, step, now)) {
+            moveRun(where, each, leftMs, "paced_down");
+            return;
+        }
     }
 }
 
@@ -172,12 +182,7 @@
         if (held == where.runs.end() || held->second.stopOrdered
             || leftMs / speed < worthMoving * elsewhereMs)
             continue;
-        log(log_level::info, "run_moved",
-            { { "task", each.task },
-              { "worker", where.key.id },
-              { "left_ms", std::to_string(static_cast<int>(leftMs)) },
-              { "reason", "worker_slow" } });
-        orderStop(where, each.task, held->second.run);
+        moveRun(where, each, leftMs, "worker_slow");
     }
 }
 
