--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// An agent with a worker, an owner and a grant.
-struct granted_agent
+/// An agent with a worker and an owner, which has granted nothing yet.
+struct owned_agent
 {
-    granted_agent()
+    owned_agent()
     {
         info.id = "w";
         info.startMs = 5;
@@ -23,6 +23,18 @@
         hello.epoch = 3;
         hello.termMs = 5'500;
         BOOST_TEST(subject.ownerOpened(hello, now));
+    }
+
+    instant now{ milliseconds(1'000'000) };
+    sched::worker_info info;
+    sched::agent subject{ { .node = "n" } };
+};
+
+/// The same with a grant.
+struct granted_agent : owned_agent
+{
+    granted_agent()
+    {
         sched::agent_orders grant;
         grant.grantedUs = now.time_since_epoch().count();
         subject.onOrders(grant, now);
@@ -87,10 +99,7 @@
         return count;
     }
 
-    instant now{ milliseconds(1'000'000) };
-    sched::worker_info info;
     sched::worker_call lastHold;
-    sched::agent subject{ { .node = "n" } };
 };
 
 } // namespace
@@ -247,27 +256,16 @@
 // first call without answer for the proof that the leases of its predecessor had ended.
 BOOST_AUTO_TEST_CASE(aRestartedAgentWaitsForTheLeasesOfItsPredecessor)
 {
-    instant now{ milliseconds(1'000'000) };
-    const instant start = now;
-    sched::agent subject{ { .node = "n" } };
-    sched::worker_info info;
-    info.id = "w";
-    info.startMs = 5;
-    info.ready = true;
-    subject.workerAnnounced(info, 1'000, now);
-    sched::owner_hello hello;
-    hello.epoch = 3;
-    hello.termMs = 5'500;
-    BOOST_TEST(subject.ownerOpened(hello, now));
-    const auto lapsesAt = [&](instant at) {
-        now = at;
-        subject.tick(now);
+    owned_agent f;
+    const instant start = f.now;
+    const auto lapsesAt = [&f](instant at) {
+        f.subject.tick(at);
         sched::worker_reply reply;
         reply.kind = sched::worker_reply_kind::unanswered;
-        for (const sched::worker_call &call : subject.takeCalls())
-            subject.onReply(call, reply, now);
-        subject.tick(now);
-        const auto reports = subject.takeReports();
+        for (const sched::worker_call &call : f.subject.takeCalls())
+            f.subject.onReply(call, reply, at);
+        f.subject.tick(at);
+        const auto reports = f.subject.takeReports();
         return std::any_of(reports.begin(), reports.end(),
                            [](const sched::agent_report &report) { return report.lapsed; });
     };
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -4,6 +4,8 @@
 #include "plantainpitch/sched/agent.h"
 #include "plantainpitch/sched/scheduler.h"
 
+#include <boost/test/unit_test.hpp>
+
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -227,4 +229,11 @@
     void noteStart(const std::string &task, std::uint32_t run, const sched::job *known);
 };
 
+/// Fails the test if the model has seen a broken rule.
+inline void requireSound(const fleet_model &model)
+{
+    for (const std::string &violation : model.violations)
+        BOOST_ERROR(violation);
+}
+
 } // namespace plantainpitch::test
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -2,42 +2,16 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
-
 using namespace plantainpitch;
 using sched::job_state;
 using test::fleet_model;
+using test::requireSound;
 
 namespace {
 
 /// Long enough for the leases of a lost worker to end and its tasks to run elsewhere.
 constexpr std::int64_t afterLeaseMs = 12'000;
 
-void requireSound(const fleet_model &model)
-{
-    for (const std::string &violation : model.violations)
-        BOOST_ERROR(violation);
-}
-
-/// Every VM gets a serving task that is at 48 of its 50 ms.
-void serveWithoutHeadroom(fleet_model &model)
-{
-    for (auto &each : model.nodes)
-        each.worker.usage = 48; // ms, of a target of 50
-    model.run(1'000);
-    auto serving = model.submission("s", 2, 500);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    serving.submitted->spec->steps[0]->maxPerVm = 1;
-    model.send(serving);
-    model.run(300);
-    for (auto &each : model.nodes) {
-        for (auto &[task, state] : each.worker.running)
-            state.leftMs = 60'000;
-    }
-    model.run(3'500); // until the figures of the serving tasks are reported
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(scheduler)
@@ -304,140 +278,6 @@
     requireSound(model);
 }
 
-// Filling steps reserve no processors. Once every VM had a serving task, isolation left no VM for
-// them, and they stood still with most of the room free.
-BOOST_AUTO_TEST_CASE(fillingTasksRunAlthoughEveryVmServes)
-{
-    fleet_model model(2);
-    model.run(1'000);
-    auto serving = model.submission("s", 2, 500);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    serving.submitted->spec->steps[0]->maxPerVm = 1;
-    model.send(serving);
-    model.run(500);
-    auto filling = model.submission("f", 4, 1'000);
-    filling.submitted->spec->steps[0]->fills = true;
-    model.send(filling);
-    BOOST_TEST(model.runUntil("f", job_state::completed, 6'000));
-}
-
-// Hunted days of fsd-huelga ended with filling jobs of which nothing ran, although most of the room
-// was free: every VM had a serving task without headroom for them.
-BOOST_AUTO_TEST_CASE(aStarvedFillingJobRunsBesideServingTasksWithoutHeadroom)
-{
-    fleet_model model(2);
-    serveWithoutHeadroom(model);
-    auto filling = model.submission("f", 2, 1'000);
-    filling.submitted->spec->steps[0]->fills = true;
-    model.send(filling);
-    model.run(1'000);
-    BOOST_TEST((model.shown("f") == job_state::queued));
-    model.run(1'500); // stands still for less than three seconds
-    BOOST_TEST((model.shown("f") != job_state::queued));
-    BOOST_TEST(model.runUntil("f", job_state::completed, 8'000));
-}
-
-// A day of fsd-huelga ended with a long queue of starved jobs, of which one got a place in each
-// pass: the last one came 57 ms after the three seconds.
-BOOST_AUTO_TEST_CASE(allStarvedJobsOfALongQueueRunOnceNoJobsCome)
-{
-    fleet_model model(2);
-    serveWithoutHeadroom(model);
-    for (int i = 0; i < 12; ++i) {
-        auto filling = model.submission("f" + std::to_string(i), 1, 150);
-        filling.submitted->spec->steps[0]->fills = true;
-        model.send(filling);
-    }
-    model.run(2'500);
-    for (int i = 0; i < 12; ++i)
-        BOOST_TEST((model.shown("f" + std::to_string(i)) != job_state::queued));
-}
-
-// Late jobs stood still beside a long queue of jobs worth more, which took all room that got free.
-BOOST_AUTO_TEST_CASE(aStarvedJobComesFirstOnceNoJobsCome)
-{
-    fleet_model model(2);
-    model.run(1'000);
-    const auto fill = [&model](const std::string &id, std::uint32_t tasks, std::uint32_t cpu) {
-        auto call = model.submission(id, tasks, cpu);
-        call.submitted->spec->steps[0]->fills = true;
-        model.send(call);
-    };
-    for (int i = 0; i < 40; ++i)
-        fill("small-" + std::to_string(i), 8, 1'000); // 28 seconds of work for both VMs
-    fill("large", 2, 4'000); // worth the least for its processors, needs a whole VM
-    for (int i = 0; i < 8; ++i) {
-        model.run(1'000);
-        if (model.shown("large") != job_state::queued)
-            break;
-    }
-    BOOST_TEST((model.shown("large") != job_state::queued));
-}
-
-BOOST_AUTO_TEST_CASE(fillingTasksStayAwayFromServingOnesWhileThereIsRoom)
-{
-    fleet_model model(3);
-    model.run(1'000);
-    auto serving = model.submission("s", 3, 1'000);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    model.send(serving);
-    model.run(500);
-    auto filling = model.submission("f", 8, 1'000);
-    filling.submitted->spec->steps[0]->fills = true;
-    model.send(filling);
-    model.run(300);
-    std::size_t servingVms = 0;
-    for (const auto &[key, where] : model.owner->workers()) {
-        if (where->serving == 0)
-            continue;
-        ++servingVms;
-        BOOST_TEST(where->fillingCpu == 0);
-    }
-    BOOST_TEST(servingVms == 1U);
-}
-
-// Guards against steps that wait for one task which hardly works beside a serving one, although
-// another VM has become free.
-BOOST_AUTO_TEST_CASE(aPacedDownRunMovesToAVmWithRoom)
-{
-    fleet_model model(2);
-    const auto setUsage = [&model](std::uint32_t usage) {
-        for (auto &each : model.nodes)
-            each.worker.usage = usage;
-    };
-    const auto find = [&model](const std::string &task) {
-        return std::find_if(model.nodes.begin(), model.nodes.end(), [&task](const auto &each) {
-            return each.worker.running.count(task) > 0;
-        });
-    };
-    setUsage(10);
-    model.run(1'000);
-    auto serving = model.submission("s", 1);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    model.send(serving);
-    model.run(300);
-    const auto servingVm = find("s.0.0.0");
-    BOOST_REQUIRE(servingVm != model.nodes.end());
-    servingVm->worker.running.at("s.0.0.0").leftMs = 60'000;
-    model.run(1'500); // until its figures are reported
-    model.send(model.submission("all-of-the-other-vm", 1, 4'000));
-    model.run(100);
-    auto filling = model.submission("f", 1);
-    filling.submitted->spec->steps[0]->fills = true;
-    filling.submitted->spec->steps[0]->checkpointing = true;
-    filling.submitted->spec->steps[0]->estimateMs = 10'000;
-    model.send(filling);
-    model.run(200);
-    BOOST_REQUIRE((find("f.0.0.0") == servingVm));
-    servingVm->worker.running.at("f.0.0.0").leftMs = 60'000;
-    setUsage(75); // over the target of 50 ms
-    BOOST_TEST(model.runUntil("f", job_state::completed, 6'000));
-    requireSound(model);
-}
-
 // A burst of more work than room: ordered by deadline, the room goes to jobs that all end late.
 BOOST_AUTO_TEST_CASE(inABurstWorthOrderServesMoreJobsInTimeThanDeadlineOrder)
 {
