--- a/src/libsched/scheduler_sharing_test.cpp
+++ b/src/libsched/scheduler_sharing_test.cpp
@@ -11,17 +11,34 @@
 
 namespace {
 
+/// A job whose tasks last and have a latency target of 50 ms.
+sched::client_call service(fleet_model &model, const std::string &id, std::uint32_t tasks,
+                           std::uint32_t cpu, std::uint32_t maxPerVm = 0)
+{
+    auto call = model.submission(id, tasks, cpu);
+    auto &step = *call.submitted->spec->steps[0];
+    step.longRunning = true;
+    step.targetMs = 50;
+    step.maxPerVm = maxPerVm;
+    return call;
+}
+
+/// A job whose tasks run on processors that are left over.
+sched::client_call fillingJob(fleet_model &model, const std::string &id, std::uint32_t tasks,
+                              std::uint32_t cpu)
+{
+    auto call = model.submission(id, tasks, cpu);
+    call.submitted->spec->steps[0]->fills = true;
+    return call;
+}
+
 /// Every VM gets a serving task that is at 48 of its 50 ms.
 void serveWithoutHeadroom(fleet_model &model)
 {
     for (auto &each : model.nodes)
         each.worker.usage = 48; // ms, of a target of 50
     model.run(1'000);
-    auto serving = model.submission("s", 2, 500);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    serving.submitted->spec->steps[0]->maxPerVm = 1;
-    model.send(serving);
+    model.send(service(model, "s", 2, 500, 1));
     model.run(300);
     for (auto &each : model.nodes) {
         for (auto &[task, state] : each.worker.running)
@@ -40,15 +57,9 @@
 {
     fleet_model model(2);
     model.run(1'000);
-    auto serving = model.submission("s", 2, 500);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    serving.submitted->spec->steps[0]->maxPerVm = 1;
-    model.send(serving);
+    model.send(service(model, "s", 2, 500, 1));
     model.run(500);
-    auto filling = model.submission("f", 4, 1'000);
-    filling.submitted->spec->steps[0]->fills = true;
-    model.send(filling);
+    model.send(fillingJob(model, "f", 4, 1'000));
     BOOST_TEST(model.runUntil("f", job_state::completed, 6'000));
 }
 
@@ -58,9 +69,7 @@
 {
     fleet_model model(2);
     serveWithoutHeadroom(model);
-    auto filling = model.submission("f", 2, 1'000);
-    filling.submitted->spec->steps[0]->fills = true;
-    model.send(filling);
+    model.send(fillingJob(model, "f", 2, 1'000));
     model.run(1'000);
     BOOST_TEST((model.shown("f") == job_state::queued));
     model.run(1'500); // stands still for less than three seconds
@@ -74,11 +83,8 @@
 {
     fleet_model model(2);
     serveWithoutHeadroom(model);
-    for (int i = 0; i < 12; ++i) {
-        auto filling = model.submission("f" + std::to_string(i), 1, 150);
-        filling.submitted->spec->steps[0]->fills = true;
-        model.send(filling);
-    }
+    for (int i = 0; i < 12; ++i)
+        model.send(fillingJob(model, "f" + std::to_string(i), 1, 150));
     model.run(2'500);
     for (int i = 0; i < 12; ++i)
         BOOST_TEST((model.shown("f" + std::to_string(i)) != job_state::queued));
@@ -89,14 +95,10 @@
 {
     fleet_model model(2);
     model.run(1'000);
-    const auto fill = [&model](const std::string &id, std::uint32_t tasks, std::uint32_t cpu) {
-        auto call = model.submission(id, tasks, cpu);
-        call.submitted->spec->steps[0]->fills = true;
-        model.send(call);
-    };
-    for (int i = 0; i < 40; ++i)
-        fill("small-" + std::to_string(i), 8, 1'000); // 28 seconds of work for both VMs
-    fill("large", 2, 4'000); // worth the least for its processors, needs a whole VM
+    for (int i = 0; i < 40; ++i) // 28 seconds of work for both VMs
+        model.send(fillingJob(model, "small-" + std::to_string(i), 8, 1'000));
+    // Worth the least for its processors, needs a whole VM.
+    model.send(fillingJob(model, "large", 2, 4'000));
     for (int i = 0; i < 8; ++i) {
         model.run(1'000);
         if (model.shown("large") != job_state::queued)
@@ -109,14 +111,9 @@
 {
     fleet_model model(3);
     model.run(1'000);
-    auto serving = model.submission("s", 3, 1'000);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    model.send(serving);
+    model.send(service(model, "s", 3, 1'000));
     model.run(500);
-    auto filling = model.submission("f", 8, 1'000);
-    filling.submitted->spec->steps[0]->fills = true;
-    model.send(filling);
+    model.send(fillingJob(model, "f", 8, 1'000));
     model.run(300);
     std::size_t servingVms = 0;
     for (const auto &[key, where] : model.owner->workers()) {
@@ -144,10 +141,7 @@
     };
     setUsage(10);
     model.run(1'000);
-    auto serving = model.submission("s", 1);
-    serving.submitted->spec->steps[0]->longRunning = true;
-    serving.submitted->spec->steps[0]->targetMs = 50;
-    model.send(serving);
+    model.send(service(model, "s", 1, 1'000));
     model.run(300);
     const auto servingVm = find("s.0.0.0");
     BOOST_REQUIRE(servingVm != model.nodes.end());
@@ -155,8 +149,7 @@
     model.run(1'500); // until its figures are reported
     model.send(model.submission("all-of-the-other-vm", 1, 4'000));
     model.run(100);
-    auto filling = model.submission("f", 1);
-    filling.submitted->spec->steps[0]->fills = true;
+    auto filling = fillingJob(model, "f", 1, 1'000);
     filling.submitted->spec->steps[0]->checkpointing = true;
     filling.submitted->spec->steps[0]->estimateMs = 10'000;
     model.send(filling);
