--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 # Front end to CMake and CTest; each target does its own set-up on a fresh machine.
 JOBS ?= $(shell nproc)
+LINT_JOBS ?= $(JOBS)
 # Tests at a time. Half of the processors: some tests check times.
 TEST_JOBS ?= 3
 BUILD ?= build
 
-.PHONY: packages build format format-check lint test check sanitize fuzz demo bench capacity soak
+.PHONY: packages build format format-check lint test check dynamic sanitize fuzz demo bench capacity soak
 .PHONY: fleet-soak
 .PHONY: settings mutations clean
 
@@ -22,7 +23,7 @@
 	@git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v generated | xargs clang-format --dry-run -Werror
 
 lint: build
-	@git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' | grep -v generated | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
+	@git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' | grep -v generated | xargs -P $(LINT_JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
 
 test: format-check build lint check
 
@@ -32,6 +33,12 @@
 	@ctest --test-dir $(BUILD) -j $(TEST_JOBS) --output-on-failure --timeout 300 \
 		-E "^($$(sed -n 's/^test:\([a-z_]*\) .*/\1/p' KNOWN-RED.txt | paste -sd'|'))$$"
 
+# Everything that runs the code, one after the other.
+dynamic:
+	@$(MAKE) check
+	@$(MAKE) fuzz
+	@$(MAKE) sanitize
+
 sanitize: packages
 	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DPLANTAIN_SANITIZE=ON >/dev/null
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
