Do not store the owner's epoch, which its claim has stored already

Each owner appended an "owner" record first, so that the end of the partition moved between two owners. Since epochs come from the offset of a claim, which is a record itself, that did the same work twice, and the first batch of a takeover had to wait for it. The test of the record goes with the record; what it guarded against, an epoch that begins a second time, is checked by eachEpochIsAboveTheLastAlthoughNothingWasStoredBetween with 30 owners that store nothing.

--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -8,8 +8,6 @@
 
 constexpr char submissionPrefix = 'j';
 constexpr char progressPrefix = 'p';
-/// Written first by each owner, so that the partition's end shows that an epoch has begun.
-const std::string ownerKey = "owner";
 /// Retries and schedules that come due need a pass although no event announces them.
 constexpr std::chrono::milliseconds passInterval{ 250 };
 constexpr std::chrono::seconds stateLogInterval{ 10 };
@@ -147,8 +145,6 @@
     if (m_roomChanged)
         schedulePass(now);
     std::vector<stored_record> records;
-    if (!std::exchange(m_epochStored, true))
-        records.push_back({ ownerKey, std::to_string(m_options.epoch) });
     for (job *target : m_changed) {
         const std::string &id = target->request.id;
         if (target->submissionChanged)
