Split the agent by what it talks to; shorten onListing and report

Calls to the worker and its answers stand in agent_worker_calls.cpp now. onListing() and report() were 50 lines each: taking ends, taking the state of a run and listing all runs are functions of their own.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -86,6 +86,12 @@
     using run_key = std::pair<std::string, std::uint32_t>; ///< task, run
 
     void forgetRuns();
+    void report(instant now);
+    void reportAllRuns(agent_report &content) const;
+    void log(log_level level, const char *event,
+             std::vector<std::pair<std::string, std::string>> fields);
+
+    // agent_worker_calls.cpp: calls to the worker and its answers
     void startRun(const start_order &order, instant now);
     void stopRun(const run_key &key, instant now);
     void callStop(const run_key &key, run_state &state, instant now);
@@ -93,17 +99,16 @@
     void onStartReply(const worker_call &call, const worker_reply &reply, instant now);
     void onHoldReply(const worker_call &call, const worker_reply &reply, instant now);
     void onListing(const worker_listing &listing, std::uint64_t holdNumber, instant now);
+    void takeEnds(const worker_listing &listing);
+    void takeStatus(const run_key &key, const run_status &status);
     void awaitAnnouncement(std::uint64_t startMs);
     void onUnreachable(const worker_reply &reply, instant now);
     void pace(instant now);
     void hold(instant now);
-    void report(instant now);
     [[nodiscard]] std::int64_t leaseUntil(instant now);
     [[nodiscard]] std::uint32_t holdWaitMs() const;
     void takeClock(std::int64_t clockMs, instant now);
     worker_call call(worker_call_kind kind) const;
-    void log(log_level level, const char *event,
-             std::vector<std::pair<std::string, std::string>> fields);
 
     const agent_options m_options;
     std::optional<worker_info> m_worker;
