Share what entry and agent do with connection events

Both shells turned opened, received and closed connections into events of their role by the same lines, and both made the same function out of an HTTP client. runtime::peer_events and runtime::sendThrough take their place.

--- a/src/include/plantainpitch/runtime/http_client.h
+++ b/src/include/plantainpitch/runtime/http_client.h
@@ -2,6 +2,7 @@
 
 #include "plantainpitch/runtime/http_request.h"
 #include "plantainpitch/runtime/http_result.h"
+#include "plantainpitch/runtime/http_send.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -41,4 +42,7 @@
     std::shared_ptr<state> m_state;
 };
 
+/// Sends requests through \a client, which must outlive the result.
+http_send sendThrough(http_client &client);
+
 } // namespace plantainpitch::runtime
--- a/src/libruntime/http_client.cpp
+++ b/src/libruntime/http_client.cpp
@@ -32,4 +32,12 @@
                         timeout);
 }
 
+http_send sendThrough(http_client &client)
+{
+    return [&client](http_request request, std::chrono::milliseconds timeout,
+                     std::function<void(http_result)> done) {
+        client.send(std::move(request), timeout, std::move(done));
+    };
+}
+
 } // namespace plantainpitch::runtime
--- a/src/plantain-agent/agent_shell.cpp
+++ b/src/plantain-agent/agent_shell.cpp
@@ -50,14 +50,6 @@
              .maxConnections = 64 };
 }
 
-runtime::http_send sendThrough(runtime::http_client &client)
-{
-    return [&client](runtime::http_request request, std::chrono::milliseconds timeout,
-                     std::function<void(runtime::http_result)> done) {
-        client.send(std::move(request), timeout, std::move(done));
-    };
-}
-
 } // namespace
 
 agent_shell::agent_shell(const agent_settings &values)
@@ -67,9 +59,10 @@
     , m_runner(
               m_role, m_core.time(), [this](action todo) { carryOut(std::move(todo)); },
               [this](const std::exception &fault) { m_core.fail(fault); })
+    , m_peers(m_core, [this](const agent_event &event) { deliver(event); })
     , m_workerHttp(m_core.context(), workerOptions(values))
     , m_serviceHttp(m_core.context(), serviceOptions(values))
-    , m_worker(sendThrough(m_workerHttp), workerTimeout)
+    , m_worker(runtime::sendThrough(m_workerHttp), workerTimeout)
     , m_status(m_core.counters(), [this] { return m_role.status(); })
     , m_statusServer(m_core.context(), statusOptions(values), m_status)
     , m_peerOptions{ .self = { .kind = process_kind::agent,
@@ -80,7 +73,7 @@
     const auto addresses = runtime::parseHostPorts(values.entries).value();
     for (const runtime::host_port &address : addresses) {
         m_connectors.push_back(std::make_unique<runtime::peer_connector>(
-                m_core.context(), address, m_peerOptions, m_core.connections(), *this,
+                m_core.context(), address, m_peerOptions, m_core.connections(), m_peers,
                 runtime::randomNumber()));
     }
 }
@@ -153,27 +146,4 @@
     m_core.loop().finish(idle, 2s);
 }
 
-void agent_shell::onOpened(connection_id connection, const hello &peer)
-{
-    deliver(connection_opened{ .connection = connection, .peer = peer });
-}
-
-void agent_shell::onMessage(connection_id connection, message content)
-{
-    deliver(message_received{ .connection = connection, .content = std::move(content) });
-}
-
-void agent_shell::onClosed(connection_id connection, const std::string &reason)
-{
-    m_core.log().write(
-            { .event = "connection_closed",
-              .fields = { { "connection", std::to_string(connection) }, { "reason", reason } } });
-    deliver(connection_closed{ .connection = connection });
-}
-
-void agent_shell::onEnded(const std::string &reason)
-{
-    m_core.countConnectionEnd(reason);
-}
-
 } // namespace plantainpitch::agent
--- a/src/plantain-agent/agent_shell.h
+++ b/src/plantain-agent/agent_shell.h
@@ -7,7 +7,7 @@
 #include "plantainpitch/runtime/http_client.h"
 #include "plantainpitch/runtime/http_server.h"
 #include "plantainpitch/runtime/peer_connector.h"
-#include "plantainpitch/runtime/peer_handler.h"
+#include "plantainpitch/runtime/peer_events.h"
 #include "plantainpitch/runtime/role_runner.h"
 #include "plantainpitch/runtime/shell_core.h"
 #include "plantainpitch/runtime/worker_client.h"
@@ -18,7 +18,7 @@
 namespace plantainpitch::agent {
 
 /// Sockets, threads and clocks around an agent_role.
-class agent_shell : public runtime::peer_handler
+class agent_shell
 {
 public:
     explicit agent_shell(const agent_settings &values);
@@ -26,11 +26,6 @@
     /// Serves until the drain is complete.
     void run();
 
-    void onOpened(connection_id connection, const hello &peer) override;
-    void onMessage(connection_id connection, message content) override;
-    void onClosed(connection_id connection, const std::string &reason) override;
-    void onEnded(const std::string &reason) override;
-
 private:
     void carryOut(action todo);
     void carryOut(const worker_call &call);
@@ -45,6 +40,7 @@
     std::uint64_t m_incarnation;
     agent_role m_role;
     runtime::role_runner<agent_role, agent_event> m_runner;
+    runtime::peer_events<agent_event> m_peers;
     runtime::http_client m_workerHttp;
     runtime::http_client m_serviceHttp;
     runtime::worker_client m_worker;
--- a/src/plantain-entry/entry_shell.cpp
+++ b/src/plantain-entry/entry_shell.cpp
@@ -43,14 +43,6 @@
              .maxConnections = 4 }; // one append and one read at once for each of two streams
 }
 
-runtime::http_send sendThrough(runtime::http_client &client)
-{
-    return [&client](runtime::http_request request, std::chrono::milliseconds timeout,
-                     std::function<void(runtime::http_result)> done) {
-        client.send(std::move(request), timeout, std::move(done));
-    };
-}
-
 } // namespace
 
 entry_shell::entry_shell(const entry_settings &values)
@@ -60,8 +52,9 @@
     , m_runner(
               m_role, m_core.time(), [this](action todo) { carryOut(std::move(todo)); },
               [this](const std::exception &fault) { m_core.fail(fault); })
+    , m_peers(m_core, [this](const entry_event &event) { deliver(event); })
     , m_logHttp(m_core.context(), logOptions(values))
-    , m_log(sendThrough(m_logHttp), m_core.counters(),
+    , m_log(runtime::sendThrough(m_logHttp), m_core.counters(),
             std::chrono::duration_cast<std::chrono::milliseconds>(
                     log_pipeline_options().callTimeout))
     , m_callers(m_core.time(), [this](const entry_event &event) { deliver(event); })
@@ -78,7 +71,7 @@
     , m_listener(
               m_core.context(),
               { .host = values.peerAddress, .port = static_cast<std::uint16_t>(values.peerPort) },
-              m_peerOptions, m_core.connections(), *this)
+              m_peerOptions, m_core.connections(), m_peers)
 {
     connectPeers(values.peers);
 }
@@ -88,7 +81,7 @@
     const auto addresses = runtime::parseHostPorts(peers).value();
     for (const runtime::host_port &peer : addresses) {
         m_connectors.push_back(std::make_unique<runtime::peer_connector>(
-                m_core.context(), peer, m_peerOptions, m_core.connections(), *this,
+                m_core.context(), peer, m_peerOptions, m_core.connections(), m_peers,
                 runtime::randomNumber()));
     }
 }
@@ -178,27 +171,4 @@
     m_core.loop().finish(idle, 2s);
 }
 
-void entry_shell::onOpened(connection_id connection, const hello &peer)
-{
-    deliver(connection_opened{ .connection = connection, .peer = peer });
-}
-
-void entry_shell::onMessage(connection_id connection, message content)
-{
-    deliver(message_received{ .connection = connection, .content = std::move(content) });
-}
-
-void entry_shell::onClosed(connection_id connection, const std::string &reason)
-{
-    m_core.log().write(
-            { .event = "connection_closed",
-              .fields = { { "connection", std::to_string(connection) }, { "reason", reason } } });
-    deliver(connection_closed{ .connection = connection });
-}
-
-void entry_shell::onEnded(const std::string &reason)
-{
-    m_core.countConnectionEnd(reason);
-}
-
 } // namespace plantainpitch::entry
--- a/src/plantain-entry/entry_shell.h
+++ b/src/plantain-entry/entry_shell.h
@@ -9,7 +9,7 @@
 #include "plantainpitch/runtime/http_server.h"
 #include "plantainpitch/runtime/log_service_client.h"
 #include "plantainpitch/runtime/peer_connector.h"
-#include "plantainpitch/runtime/peer_handler.h"
+#include "plantainpitch/runtime/peer_events.h"
 #include "plantainpitch/runtime/peer_listener.h"
 #include "plantainpitch/runtime/role_runner.h"
 #include "plantainpitch/runtime/shell_core.h"
@@ -20,7 +20,7 @@
 namespace plantainpitch::entry {
 
 /// Sockets, threads and clocks around an entry_role.
-class entry_shell : public runtime::peer_handler
+class entry_shell
 {
 public:
     explicit entry_shell(const entry_settings &values);
@@ -28,11 +28,6 @@
     /// Serves until the graceful stop is complete.
     void run();
 
-    void onOpened(connection_id connection, const hello &peer) override;
-    void onMessage(connection_id connection, message content) override;
-    void onClosed(connection_id connection, const std::string &reason) override;
-    void onEnded(const std::string &reason) override;
-
 private:
     void carryOut(action todo);
     void carryOut(const append_call &call);
@@ -48,6 +43,7 @@
     std::uint64_t m_incarnation;
     entry_role m_role;
     runtime::role_runner<entry_role, entry_event> m_runner;
+    runtime::peer_events<entry_event> m_peers;
     runtime::http_client m_logHttp;
     runtime::log_service_client m_log;
     caller_handler m_callers;
