--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import socket
 import threading
 
 import jobs
@@ -17,12 +18,24 @@
 QUEUE = "/work/"
 
 
+def reserve_network():
+    """Number of a loopback network that no other run uses, and the socket that reserves it."""
+    for network in range(16, 250):
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{network}.0.250", STORE_PORT))
+            return network, reservation
+        except OSError:
+            reservation.close()  # another run has it
+    raise RuntimeError("all loopback networks are in use: play fewer runs at once")
+
+
 class Deployment:
-    """Each machine has an address of its own in the loopback network; `network` keeps runs apart
-    that are played at the same time."""
+    """Each machine has an address of its own in a loopback network, so that runs can be played at
+    the same time."""
 
-    def __init__(self, build, directory, network, promises, all_jobs, seed, gateways=2, nodes=4):
-        self._network = network
+    def __init__(self, build, directory, promises, all_jobs, seed, gateways=2, nodes=4):
+        self._network, self._reservation = reserve_network()
         self._jobs = all_jobs
         self._lock = threading.Lock()
         self._version = 0
@@ -104,3 +117,4 @@
             worker.close()
         self.store.service.close()
         self._proxies.stop()
+        self._reservation.close()
--- a/testsuite/soak/fleet_soak.py
+++ b/testsuite/soak/fleet_soak.py
@@ -38,8 +38,8 @@
         self.promises = Promises(self._jobs)
         self.directory = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         self._deployment = Deployment(
-            options.build, self.directory, 16 + seed % 200, self.promises, self._jobs, seed,
-            options.gateways, options.nodes)
+            options.build, self.directory, self.promises, self._jobs, seed, options.gateways,
+            options.nodes)
         self.faults = None
         self._clients = []
 
