--- a/src/include/plantainpitch/runtime/http_server_options.h
+++ b/src/include/plantainpitch/runtime/http_server_options.h
@@ -16,6 +16,9 @@
     std::size_t maxConnections = 1024; ///< more: 503 and close
     std::chrono::milliseconds readTimeout{ 10'000 }; ///< whole request: 408
     std::chrono::milliseconds idleTimeout{ 60'000 }; ///< between requests: close
+    /// Time that a connection without any request keeps after the server stopped accepting: the
+    /// client has just connected, and its first request is on the way.
+    std::chrono::milliseconds firstRequestTime{ 500 };
 };
 
 } // namespace plantainpitch::runtime
--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -25,9 +25,6 @@
 /// Time in which the client may read the last response before the socket is closed. Closing at
 /// once with unread bytes would reset the connection and could destroy the response.
 constexpr std::chrono::milliseconds closingTime{ 1'000 };
-/// Time that a connection without any request keeps after the server stopped accepting: the client
-/// has just connected, and its first request is on the way.
-constexpr std::chrono::milliseconds firstRequestTime{ 500 };
 
 /// Numbers of requests; unique in the process over all servers.
 std::atomic<std::uint64_t> nextRequestNumber{ 1 };
@@ -103,7 +100,7 @@
         if (self->m_phase != phase::idle || self->m_socket.available(code) > 0)
             return;
         if (self->m_requestNumber == 0)
-            self->setDeadline(firstRequestTime);
+            self->setDeadline(self->m_shared->options.firstRequestTime);
         else
             self->close();
     });
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -15,7 +15,7 @@
 
 STORE_PORT, WORKER_PORT, CLIENT_PORT, READY_PORT, CONTROL_PORT = 8100, 8200, 8300, 8400, 8500
 PEER_PORTS = "8600,8610"
-QUEUE = "/work/"
+QUEUE = "/jobs/"
 
 
 def reserve_network():
