--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -167,6 +167,7 @@
     std::vector<sched::advice_request> advised; ///< requests that the service has received
     static constexpr std::uint32_t ticketValidityMs = 2'000;
     std::map<std::string, std::string> stored;
+    std::int64_t longRunningMs = taskMs; ///< how long a task of a long-running step runs
     double lostAnswers = 0; ///< share of the calls to workers that are carried out 2 to 12 s late
     std::vector<std::string> violations;
     std::map<std::uint64_t, sched::client_answer> answers;
@@ -223,6 +224,7 @@
 
     void stepNode(node &node);
     void stepCalls(node &node);
+    [[nodiscard]] std::int64_t durationOf(const std::string &task) const;
     sched::advice adviseOn(const sched::advice_request &request);
     void stepOwner();
     void check();
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -114,6 +114,13 @@
     return result;
 }
 
+std::int64_t fleet_model::durationOf(const std::string &task) const
+{
+    const auto name = sched::task_name::parse(task);
+    const sched::job *known = name ? owner->findJob(name->job) : nullptr;
+    return known && known->stepSpec(name->step).longRunning ? longRunningMs : taskMs;
+}
+
 void fleet_model::stepCalls(node &node)
 {
     std::vector<node::waiting_call> calls;
@@ -138,7 +145,7 @@
             node.calls.push_back(each);
             continue;
         }
-        const auto reply = node.worker.handle(each.call, taskMs);
+        const auto reply = node.worker.handle(each.call, durationOf(each.call.task));
         if (each.answered)
             node.agent->onReply(each.call, reply, now());
     }
--- /dev/null
+++ b/src/libsched/scheduler_lasting_test.cpp
@@ -0,0 +1,175 @@
+#include "fleet_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+using test::fleet_model;
+using test::requireNoViolations;
+
+namespace {
+
+/// A task of a long-running step has to run again within this time after its last run.
+constexpr std::int64_t restartMs = 9'000;
+
+/// A fleet whose services run until they are cancelled, and a stream of small jobs of which more
+/// come than fit beside the services.
+struct busy_fleet
+{
+    explicit busy_fleet(std::uint32_t nodes)
+        : model(nodes)
+    {
+        model.longRunningMs = 3'600'000;
+        model.run(1'000);
+    }
+
+    void startService(const std::string &id, std::uint32_t tasks, std::uint32_t cpu,
+                      std::uint32_t maxPerVm = 0)
+    {
+        auto call = model.submission(id, tasks, cpu);
+        auto &step = *call.submitted->spec->steps[0];
+        step.longRunning = true;
+        step.targetMs = 50;
+        step.maxPerVm = maxPerVm;
+        step.estimateMs = 0;
+        model.send(call);
+        model.run(500);
+    }
+
+    /// Runs for \a ms while small jobs are submitted; stops early once \a reached returns true.
+    bool runUnderLoad(std::int64_t ms, const std::function<bool()> &reached)
+    {
+        for (std::int64_t passed = 0; passed < ms; passed += submitMs) {
+            model.send(model.submission("small-" + std::to_string(++jobs), 4, 500));
+            model.run(submitMs);
+            if (reached())
+                return true;
+        }
+        return false;
+    }
+    void runUnderLoad(std::int64_t ms)
+    {
+        runUnderLoad(ms, [] { return false; });
+    }
+
+    fleet_model::node *find(const std::string &task)
+    {
+        for (auto &each : model.nodes) {
+            if (each.worker.up && each.worker.running.count(task) > 0)
+                return &each;
+        }
+        return nullptr;
+    }
+
+    bool runsAgain(const std::string &task, std::int64_t ms)
+    {
+        return runUnderLoad(ms, [&] { return find(task) != nullptr; });
+    }
+
+    static constexpr std::int64_t submitMs = 100;
+    fleet_model model;
+    int jobs = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(scheduler_lasting)
+
+// Guards against a service that stays incomplete: smaller tasks took all capacity that became free,
+// because a service that is older than its objective ranked behind every batch job.
+BOOST_AUTO_TEST_CASE(aFailedTaskOfAServiceRunsAgainWhileSmallerTasksWait)
+{
+    busy_fleet fleet(2);
+    fleet.startService("service", 2, 2'500, 1);
+    fleet.runUnderLoad(10'000);
+    auto *place = fleet.find("service.0.0.0");
+    BOOST_REQUIRE(place);
+    place->worker.end("service.0.0.0", sched::run_outcome::failed);
+    BOOST_TEST(fleet.runsAgain("service.0.0.0", restartMs));
+    requireNoViolations(fleet.model);
+}
+
+// Guards against a service that stays incomplete because batch work of a higher priority takes all
+// capacity that becomes free.
+BOOST_AUTO_TEST_CASE(aFailedTaskOfAServiceRunsAgainWhileMoreUrgentWorkWaits)
+{
+    busy_fleet fleet(2);
+    fleet.model.config.queues["service"] = fleet.model.config.queues["batch"];
+    fleet.model.config.queues["service"].name = "service";
+    fleet.model.config.queues["service"].priority = 2;
+    fleet.model.newOwner();
+    fleet.model.run(1'000);
+    auto call = fleet.model.submission("service", 2, 2'500);
+    call.queue = "service";
+    call.submitted->queue = "service";
+    call.submitted->spec->steps[0]->longRunning = true;
+    call.submitted->spec->steps[0]->maxPerVm = 1;
+    fleet.model.send(call);
+    fleet.runUnderLoad(10'000);
+    auto *place = fleet.find("service.0.0.0");
+    BOOST_REQUIRE(place);
+    place->worker.end("service.0.0.0", sched::run_outcome::failed);
+    BOOST_TEST(fleet.runsAgain("service.0.0.0", restartMs));
+    requireNoViolations(fleet.model);
+}
+
+// Guards against services that stay incomplete after a takeover, although the worker whose runs
+// were lost has long been known to be gone.
+BOOST_AUTO_TEST_CASE(tasksOfALostWorkerRunAgainAfterATakeover)
+{
+    busy_fleet fleet(4);
+    fleet.startService("one", 3, 1'900, 1);
+    fleet.startService("two", 3, 1'500, 1);
+    fleet.runUnderLoad(10'000);
+    auto *place = fleet.find("one.0.0.0");
+    BOOST_REQUIRE(place);
+    std::vector<std::string> lost;
+    for (const auto &[task, state] : place->worker.running) {
+        if (!task.starts_with("small"))
+            lost.push_back(task);
+    }
+    BOOST_REQUIRE(!lost.empty());
+    fleet.model.crashWorker(*place);
+    fleet.runUnderLoad(1'000);
+    fleet.model.newOwner();
+    fleet.runUnderLoad(restartMs - 1'000);
+    for (const std::string &task : lost)
+        BOOST_TEST((fleet.find(task) != nullptr), task << " does not run");
+    requireNoViolations(fleet.model);
+}
+
+// Guards against a service that waits although the only workers with capacity are those that were
+// excluded after failures.
+BOOST_AUTO_TEST_CASE(aTaskOfAServiceRunsAgainAlthoughAllWorkersAreExcluded)
+{
+    busy_fleet fleet(2);
+    fleet.startService("service", 2, 2'500, 1);
+    fleet.runUnderLoad(2'000);
+    for (auto &each : fleet.model.nodes)
+        each.worker.failsAll = true;
+    fleet.runUnderLoad(20'000); // the exclusion has grown to its longest
+    for (auto &each : fleet.model.nodes)
+        each.worker.failsAll = false;
+    auto *place = fleet.find("service.0.0.0");
+    BOOST_REQUIRE(place);
+    place->worker.end("service.0.0.0", sched::run_outcome::failed);
+    BOOST_TEST(fleet.runsAgain("service.0.0.0", restartMs));
+    requireNoViolations(fleet.model);
+}
+
+// Guards against capacity that is kept free on every VM for one task of a service.
+BOOST_AUTO_TEST_CASE(smallTasksGoOnStartingWhileATaskOfAServiceWaits)
+{
+    busy_fleet fleet(4);
+    fleet.startService("service", 4, 2'500, 1);
+    fleet.runUnderLoad(10'000);
+    auto *place = fleet.find("service.0.0.0");
+    BOOST_REQUIRE(place);
+    place->worker.end("service.0.0.0", sched::run_outcome::failed);
+    const std::size_t before = fleet.model.starts.size();
+    fleet.runUnderLoad(1'000);
+    // The other three VMs start 3 x 1.5 / 0.5 tasks each 0.7 s; half of it leaves room for delays.
+    BOOST_TEST(fleet.model.starts.size() - before >= 6U);
+    requireNoViolations(fleet.model);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
