Send the pace of runs that an agent has adopted

Cause: an agent that restarts forgets which paces it has set. It took it that every run works at full pace, so it never sent a pace for a run that its predecessor had paced down to 0. The run stood still for good, the worker counted as stalled, and each report renewed its exclusion. The same happened when a pace call got no answer and was carried out after a newer one.

The agent now keeps the pace that the worker has confirmed for each run: none for an adopted run or after a call without answer. It sends the pace until it is confirmed, and repeats it for 15 s after an unanswered call.

Tests: anAdoptedFillingRunGetsAPace and anUnansweredPaceIsRepeatedWhileItMayBeCarriedOut failed before.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -82,6 +82,12 @@
         std::string checkpoint;
         std::uint32_t percent = 0;
         std::uint32_t usage = 0;
+        /// Pace that the worker has confirmed; none if it is not known.
+        std::optional<std::uint32_t> confirmedPace = fullPace;
+        bool pacePending = false; ///< a pace call is on its way
+        instant nextPace{}; ///< no pace call before
+        /// Until then an unanswered pace call may still be carried out.
+        instant paceUncertainUntil{};
     };
     using run_key = std::pair<std::string, std::uint32_t>; ///< task, run
 
@@ -104,6 +110,8 @@
     void awaitAnnouncement(std::uint64_t startMs);
     void onUnreachable(const worker_reply &reply, instant now);
     void updatePaces(instant now);
+    void sendPace(const run_key &key, run_state &state, instant now);
+    void onPaceReply(const worker_call &call, const worker_reply &reply, instant now);
     void sendHold(instant now);
     [[nodiscard]] std::int64_t leaseUntil(instant now);
     [[nodiscard]] std::uint32_t holdWaitMs() const;
--- a/src/include/plantainpitch/sched/pacing.h
+++ b/src/include/plantainpitch/sched/pacing.h
@@ -9,6 +9,9 @@
 
 namespace plantainpitch::sched {
 
+/// Pace at which a worker starts every task, in percent.
+inline constexpr std::uint32_t fullPace = 100;
+
 /// Input of the pacing for one task on the VM.
 struct paced_task
 {
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -99,6 +99,40 @@
         return count;
     }
 
+    /// Lists one run, answers the calls that follow with \a kind, and returns their paces.
+    std::vector<std::uint32_t> pacesAfterListing(sched::worker_reply_kind kind)
+    {
+        now += milliseconds(500);
+        sched::worker_listing listing;
+        listing.startMs = info.startMs;
+        listing.running.emplace_back();
+        listing.running.back().task = "a.0.0.0";
+        listing.running.back().run = 1;
+        list(listing);
+        std::vector<std::uint32_t> paces;
+        for (const sched::worker_call &call : subject.takeCalls()) {
+            if (call.kind != sched::worker_call_kind::pace)
+                continue;
+            paces.push_back(call.percent);
+            sched::worker_reply reply;
+            reply.kind = kind;
+            subject.onReply(call, reply, now);
+        }
+        return paces;
+    }
+
+    void describeAsFilling()
+    {
+        sched::agent_orders orders;
+        orders.number = 1;
+        orders.workerStartMs = info.startMs;
+        orders.describes.push_back(std::make_unique<sched::start_order>());
+        orders.describes.back()->task = "a.0.0.0";
+        orders.describes.back()->run = 1;
+        orders.describes.back()->fills = true;
+        subject.onOrders(orders, now);
+    }
+
     sched::worker_call lastHold;
 };
 
@@ -106,6 +140,40 @@
 
 BOOST_AUTO_TEST_SUITE(agent)
 
+// Guards against runs that stand still for good: an earlier agent process had paced them down, and
+// its successor took it that they work at full pace.
+BOOST_AUTO_TEST_CASE(anAdoptedFillingRunGetsAPace)
+{
+    granted_agent agent;
+    agent.pacesAfterListing(sched::worker_reply_kind::accepted);
+    agent.describeAsFilling();
+    const std::vector<std::uint32_t> once{ sched::fullPace };
+    BOOST_TEST(agent.pacesAfterListing(sched::worker_reply_kind::accepted) == once);
+    BOOST_TEST(agent.pacesAfterListing(sched::worker_reply_kind::accepted).empty());
+}
+
+// Guards against a pace that is carried out late, after a newer one, and stays.
+BOOST_AUTO_TEST_CASE(anUnansweredPaceIsRepeatedWhileItMayBeCarriedOut)
+{
+    granted_agent agent;
+    agent.pacesAfterListing(sched::worker_reply_kind::accepted);
+    agent.describeAsFilling();
+    BOOST_TEST(agent.pacesAfterListing(sched::worker_reply_kind::unanswered).size() == 1U);
+    std::size_t repeated = 0;
+    instant last{};
+    const instant begin = agent.now;
+    for (int i = 0; i < 60; ++i) {
+        if (agent.pacesAfterListing(sched::worker_reply_kind::accepted).empty())
+            continue;
+        ++repeated;
+        last = agent.now;
+    }
+    BOOST_TEST(repeated <= 16U);
+    // Orders were seen to be carried out up to 12 s late.
+    BOOST_TEST((last - begin >= std::chrono::seconds(12)));
+    BOOST_TEST((last - begin <= std::chrono::seconds(16)));
+}
+
 BOOST_AUTO_TEST_CASE(aDrainingWorkerGetsNoStart)
 {
     granted_agent f;
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -16,6 +16,10 @@
 /// figures cover half a second. A start does not end the wait, so a new run is listed only after
 /// it.
 constexpr std::uint32_t maxHoldWaitMs = 500;
+/// Pause before an unanswered pace call is repeated.
+constexpr milliseconds paceRetryInterval{ 1'000 };
+/// A worker may carry out an unanswered call this much later, after newer ones.
+constexpr milliseconds lateCallWindow{ 15'000 };
 
 } // namespace
 
@@ -146,7 +150,8 @@
         onHoldReply(call, reply, now);
         break;
     case worker_call_kind::pace:
-        break; // a lost pace is corrected after the next measurement
+        onPaceReply(call, reply, now);
+        break;
     }
 }
 
@@ -281,6 +286,7 @@
     if (!known) {
         state.phase = run_phase::running;
         state.firstConclusiveHold = m_holdNumber + 1;
+        state.confirmedPace.reset(); // an earlier agent process may have paced the run
         m_completeReportDue = true;
         m_reportDue = true;
     }
@@ -304,17 +310,42 @@
                               .targetMs = state.targetMs,
                               .usage = state.usage });
     }
-    const auto changes = m_pacing.update(tasks, now);
-    for (const auto &[key, state] : m_runs) {
-        const auto change = changes.find(key.first);
-        if (change == changes.end() || !state.fills)
+    m_pacing.update(tasks, now);
+    for (auto &[key, state] : m_runs) {
+        if (!state.fills || state.phase != run_phase::running || state.pacePending)
             continue;
-        worker_call paceCall = call(worker_call_kind::pace);
-        paceCall.task = key.first;
-        paceCall.run = key.second;
-        paceCall.percent = change->second;
-        m_calls.push_back(std::move(paceCall));
+        const bool changed = state.confirmedPace != m_pacing.percentOf(key.first);
+        const bool due = (changed && state.confirmedPace) || now >= state.nextPace;
+        if (due && (changed || now < state.paceUncertainUntil))
+            sendPace(key, state, now);
+    }
+}
+
+void agent::sendPace(const run_key &key, run_state &state, instant now)
+{
+    state.pacePending = true;
+    state.nextPace = now + paceRetryInterval;
+    worker_call paceCall = call(worker_call_kind::pace);
+    paceCall.task = key.first;
+    paceCall.run = key.second;
+    paceCall.percent = m_pacing.percentOf(key.first);
+    m_calls.push_back(std::move(paceCall));
+}
+
+void agent::onPaceReply(const worker_call &call, const worker_reply &reply, instant now)
+{
+    const auto found = m_runs.find({ call.task, call.run });
+    if (found == m_runs.end())
+        return;
+    run_state &state = found->second;
+    state.pacePending = false;
+    if (reply.kind == worker_reply_kind::accepted) {
+        state.confirmedPace = call.percent;
+        return;
     }
+    state.confirmedPace.reset();
+    if (reply.kind == worker_reply_kind::unanswered)
+        state.paceUncertainUntil = now + lateCallWindow;
 }
 
 } // namespace plantainpitch::sched
--- a/src/libsched/fake_fleet_worker.h
+++ b/src/libsched/fake_fleet_worker.h
@@ -22,6 +22,7 @@
         std::int64_t doneMs = 0;
         bool stopping = false;
         std::int64_t stopAtMs = 0;
+        std::uint32_t pace = 100; ///< percent
     };
 
     sched::worker_info info;
@@ -66,8 +67,8 @@
         std::vector<std::pair<std::string, sched::run_outcome>> ends;
         for (auto &[task, state] : running) {
             if (!makesNoProgress) {
-                state.leftMs -= ms;
-                state.doneMs += ms;
+                state.leftMs -= ms * state.pace / 100;
+                state.doneMs += ms * state.pace / 100;
             }
             if (clockMs >= leaseUntilMs)
                 ends.emplace_back(task, sched::run_outcome::lapsed);
@@ -118,6 +119,8 @@
             stop(call);
         if (call.kind == sched::worker_call_kind::hold)
             list(call, reply);
+        if (call.kind == sched::worker_call_kind::pace)
+            setPace(call);
         return reply;
     }
 
@@ -153,6 +156,13 @@
         found->second.stopAtMs = clockMs + stopMs;
     }
 
+    void setPace(const sched::worker_call &call)
+    {
+        const auto found = running.find(call.task);
+        if (found != running.end() && found->second.run == call.run)
+            found->second.pace = call.percent;
+    }
+
     void list(const sched::worker_call &call, sched::worker_reply &reply)
     {
         std::erase_if(ended, [&call](const sched::run_end &each) {
--- a/src/libsched/pacing.cpp
+++ b/src/libsched/pacing.cpp
@@ -16,7 +16,6 @@
 constexpr double minDisturbance = 0.02;
 /// Over the target, the reduction is scaled up because the estimates may be too low.
 constexpr double overTargetFactor = 2;
-constexpr std::uint32_t fullPace = 100;
 /// A slower task is stopped: its progress would not justify its disturbance.
 constexpr std::uint32_t minPace = 10;
 /// Time until a change shows in the measurements: each covers the last half second, and a new pace
