Place overdue long-running tasks first and hold room for them

Callers saw services that stayed incomplete for as long as the fleet was busy (LOST), also while their other tasks ran.

Cause: whether work starves was kept per job, so a lost task of a service whose other tasks run never counted. And nothing kept room free for a task that is larger than what ends, so smaller tasks took each piece of capacity.

The scheduler now notes when it finds a long-running task waiting. Held room is set anew in each pass.

--- a/src/include/plantainpitch/sched/resources.h
+++ b/src/include/plantainpitch/sched/resources.h
@@ -17,6 +17,15 @@
                && accelerators <= available.accelerators;
     }
 
+    /// The same for an amount of \a available that may be negative: what is not needed is not
+    /// compared.
+    [[nodiscard]] bool fitsWhereNeeded(const resources &available) const
+    {
+        return (cpu == 0 || cpu <= available.cpu)
+               && (memoryMb == 0 || memoryMb <= available.memoryMb)
+               && (accelerators == 0 || accelerators <= available.accelerators);
+    }
+
     bool operator==(const resources &) const = default;
 };
 
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -157,6 +157,8 @@
                    bool starved, instant now);
     void start(job &job, occurrence &occurrence, std::uint32_t step, std::uint32_t index,
                worker &worker, std::uint32_t run, instant now);
+    [[nodiscard]] static bool mayRun(const worker &candidate, const queue_config &queue,
+                                     const step_spec &step);
     [[nodiscard]] std::vector<worker *> eligibleWorkers(const job &job, const queue_config &queue,
                                                         const occurrence &occurrence,
                                                         std::uint32_t step, bool starved,
@@ -170,6 +172,20 @@
                                                  bool starved) const;
     [[nodiscard]] bool fitsOneRack(const std::string &service, const step_spec &spec) const;
 
+    // scheduler_long_running.cpp: tasks of long-running steps that have lost their place
+    struct overdue_task
+    {
+        instant since{};
+        job *parentJob = nullptr;
+        const queue_config *queue = nullptr;
+        occurrence *parentOccurrence = nullptr;
+        std::uint32_t step = 0;
+        std::uint32_t index = 0;
+    };
+    std::vector<overdue_task> findOverdueLongRunning(instant now);
+    void placeOverdueLongRunning(instant now);
+    void holdRoom(const overdue_task &waiting, instant now);
+
     // scheduler_workers.cpp
     void transferUnconfirmedRuns(worker &previousIncarnation, worker &nextIncarnation);
     void removeEarlierIncarnations(const std::string &node, worker &current);
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -27,6 +27,7 @@
     resources reserved;
     std::int64_t fillingCpu = 0; ///< left-over processors that it would use, thousandths of a core
     bool serves = false; ///< has a latency target
+    bool longRunning = false; ///< ends only if it fails or is stopped
     std::string image;
     bool stopOrdered = false;
     /// Number of the orders that carry the start; 0: they have been delivered or lost by now.
@@ -65,6 +66,8 @@
     std::vector<std::string> labels;
     resources capacity;
     resources used;
+    resources usedByLongRunning; ///< part of used
+    resources held; ///< kept free for waiting long-running tasks; set in each scheduling pass
     std::int64_t fillingCpu = 0; ///< demand of runs that use left-over processors
     std::uint32_t servingRuns = 0; ///< runs that have a latency target
     std::int64_t servingCpu = 0; ///< what they reserve
@@ -86,6 +89,11 @@
     std::uint32_t exclusions = 0;
 
     [[nodiscard]] resources freeResources() const { return capacity - used; }
+    /// Whether the resources fit beside the runs and the held resources.
+    [[nodiscard]] bool hasRoomFor(const resources &needed) const
+    {
+        return needed.fits(freeResources()) && needed.fitsWhereNeeded(freeResources() - held);
+    }
     /// Processors that neither reservations nor filling runs are expected to use, thousandths of a
     /// core. Serving tasks reserve for their peak.
     [[nodiscard]] std::int64_t leftOverCpu() const;
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -57,18 +57,18 @@
             [&occurrence](std::uint32_t each) { return occurrence.steps[each].waiting == 0; });
 }
 
-bool isEligible(const worker &candidate, const queue_config &queue, const step_spec &step,
-                instant now)
+} // namespace
+
+/// Whether the worker takes tasks of the step at all, whatever its load and its health.
+bool scheduler::mayRun(const worker &candidate, const queue_config &queue, const step_spec &step)
 {
     const auto &labels = candidate.labels;
     return candidate.connected && candidate.ready && candidate.responsive
-           && candidate.service == queue.service && candidate.excludedUntil <= now
+           && candidate.service == queue.service
            && (step.requiredLabel.empty()
                || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
 }
 
-} // namespace
-
 std::vector<worker *> scheduler::eligibleWorkers(const job &job, const queue_config &queue,
                                                  const occurrence &occurrence, std::uint32_t step,
                                                  bool starved, instant now)
@@ -79,7 +79,7 @@
     std::vector<worker *> result;
     for (auto &[key, entry] : m_workers) {
         worker *const candidate = entry.get(); // lambdas cannot capture the names of a binding
-        if (!isEligible(*candidate, queue, spec, now) || !needed.fits(candidate->freeResources())
+        if (!mayRun(*candidate, queue, spec) || !candidate->hasRoomFor(needed)
             || !m_placement.admits(*candidate, spec, starved))
             continue;
         if (queue.needsTickets && !m_advice.ticketFor(name, key.id, now))
@@ -92,7 +92,8 @@
             if (here >= spec.maxPerVm)
                 continue;
         }
-        result.push_back(candidate);
+        if (candidate->excludedUntil <= now)
+            result.push_back(candidate);
     }
     return result;
 }
@@ -107,6 +108,7 @@
     --stepRun.waiting;
     ++stepRun.active;
     task.phase = task_phase::active;
+    task.waitingSince.reset();
     task.run = run;
     task.place = worker.key;
     task.reported = false;
@@ -165,7 +167,7 @@
             return;
         if (job.stepSpec(step).maxPerVm > 0)
             eligible = eligibleWorkers(job, queue, occurrence, step, starved, now);
-        else if (!needed.fits(choice->freeResources())
+        else if (!choice->hasRoomFor(needed)
                  || !m_placement.admits(*choice, job.stepSpec(step), starved))
             eligible.erase(std::remove(eligible.begin(), eligible.end(), choice), eligible.end());
     }
@@ -238,7 +240,7 @@
         choice->reserve(nameOf(index), allocation);
         chosen.push_back(choice);
         const bool full = spec.maxPerVm > 0 && ++members[choice] >= spec.maxPerVm;
-        if (full || !allocation.reserved.fits(choice->freeResources())
+        if (full || !choice->hasRoomFor(allocation.reserved)
             || !m_placement.admits(*choice, spec, starved))
             eligible.erase(std::remove(eligible.begin(), eligible.end(), choice), eligible.end());
     }
@@ -253,6 +255,7 @@
 {
     m_passNeeded = false;
     m_lastPass = now;
+    placeOverdueLongRunning(now);
     struct ranked
     {
         double rank;
@@ -331,9 +334,9 @@
     std::vector<std::string> eligible;
     std::vector<std::string> withoutCapacity;
     for (const auto &[key, candidate] : m_workers) {
-        if (!isEligible(*candidate, queue, spec, now))
+        if (!mayRun(*candidate, queue, spec) || candidate->excludedUntil > now)
             continue;
-        const bool hasCapacity = reservation(spec).fits(candidate->freeResources())
+        const bool hasCapacity = candidate->hasRoomFor(reservation(spec))
                                  && m_placement.admits(*candidate, spec, false);
         (hasCapacity ? eligible : withoutCapacity).push_back(key.id);
     }
--- a/src/libsched/worker.cpp
+++ b/src/libsched/worker.cpp
@@ -37,6 +37,8 @@
         release(name, earlier->second.run);
     runs[name] = allocation;
     used = used + allocation.reserved;
+    if (allocation.longRunning)
+        usedByLongRunning = usedByLongRunning + allocation.reserved;
     fillingCpu += allocation.fillingCpu;
     servingRuns += allocation.serves ? 1 : 0;
     servingCpu += allocation.serves ? allocation.reserved.cpu : 0;
@@ -49,6 +51,8 @@
     if (found == runs.end() || found->second.run != run)
         return false;
     used = used - found->second.reserved;
+    if (found->second.longRunning)
+        usedByLongRunning = usedByLongRunning - found->second.reserved;
     fillingCpu -= found->second.fillingCpu;
     servingRuns -= found->second.serves ? 1 : 0;
     servingCpu -= found->second.serves ? found->second.reserved.cpu : 0;
