Let starved work use excluded workers if no other has room

Cause: a worker that fails runs or makes little progress was left out of every placement, for as long as the evidence lasted. A single run that stands still renews it without end, and repeated failures exclude a worker for 24 s.

An exclusion is now a preference: jobs that have stood still for 1.5 s and long-running tasks that have waited for 2 s use excluded workers if no other worker has room.

--- a/src/libsched/scheduler_long_running.cpp
+++ b/src/libsched/scheduler_long_running.cpp
@@ -11,6 +11,9 @@
 /// A task of a long-running step that has waited this long goes before all other work, whatever
 /// its queue. Until then it competes in the order of the queues.
 constexpr milliseconds overdueAfter{ 1'000 };
+/// An overdue task also takes workers that are excluded after this long. Between two runs on a
+/// worker that fails everything lies at least this much.
+constexpr milliseconds takesExcludedAfter{ 2'000 };
 /// Room is held on one more worker each time the task has waited this much longer, because the
 /// runs on the first one may take longer than estimated.
 constexpr milliseconds holdInterval{ 1'500 };
@@ -83,8 +86,9 @@
         task &task = each.parentOccurrence->steps[each.step].tasks[each.index];
         if (each.queue->needsTickets)
             requestTickets(*each.parentJob, *each.queue, *each.parentOccurrence, each.step, now);
+        const bool takesExcluded = now - each.since >= takesExcludedAfter;
         const auto eligible = eligibleWorkers(*each.parentJob, *each.queue, *each.parentOccurrence,
-                                              each.step, false, now);
+                                              each.step, takesExcluded, now);
         if (worker *choice = m_placement.choose(eligible, spec, task))
             start(*each.parentJob, *each.parentOccurrence, each.step, each.index, *choice,
                   task.run + 1, now);
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -77,6 +77,7 @@
     const resources needed = reservation(spec);
     const std::string name = task_name{ job.request.id, occurrence.number, step, 0 }.stepText();
     std::vector<worker *> result;
+    std::vector<worker *> excluded;
     for (auto &[key, entry] : m_workers) {
         worker *const candidate = entry.get(); // lambdas cannot capture the names of a binding
         if (!mayRun(*candidate, queue, spec) || !candidate->hasRoomFor(needed)
@@ -92,10 +93,11 @@
             if (here >= spec.maxPerVm)
                 continue;
         }
-        if (candidate->excludedUntil <= now)
-            result.push_back(candidate);
+        (candidate->excludedUntil <= now ? result : excluded).push_back(candidate);
     }
-    return result;
+    // An exclusion is a preference: for work that has waited long, a suspect worker is better than
+    // none.
+    return starved && result.empty() ? excluded : result;
 }
 
 void scheduler::start(job &job, occurrence &occurrence, std::uint32_t step, std::uint32_t index,
