End the platform's programs without shutting log4cplus down

Operators saw that a stopped process was still there at the end of the grace period and had to be killed, so that the worker beside a node had no agent for 6.5 s, longer than its leases.

Cause: log4cplus starts a pool of threads and joins them when it is shut down.

Plain processes on loopback exit at once with and without the change, so no test of this repository shows the fault.

--- a/src/libruntime/logging.cpp
+++ b/src/libruntime/logging.cpp
@@ -42,11 +42,18 @@
     return name == "error" ? log_level::error : log_level::info;
 }
 
+/// Initializes log4cplus once, for the life of the process: its shutdown joins the threads of its
+/// pool, which can hang until the process is killed.
+void initializeLibrary()
+{
+    static const auto *const initializer = new log4cplus::Initializer; // NOLINT: never deleted
+    static_cast<void>(initializer);
+}
+
 } // namespace
 
 struct logging::state
 {
-    log4cplus::Initializer initializer;
     const clock *time = nullptr;
     log4cplus::Logger logger;
     std::mutex mutex; // guards the limiter
@@ -56,10 +63,12 @@
 logging::logging(const clock &time, const std::string &level, log_stream stream)
     : m_state(std::make_unique<state>())
 {
+    initializeLibrary();
     m_state->time = &time;
     m_state->logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("plantain"));
     m_state->logger.setLogLevel(levelOf(levelNamed(level)));
     m_state->logger.setAdditivity(false);
+    m_state->logger.removeAllAppenders();
     const log4cplus::SharedAppenderPtr appender(
             new log4cplus::ConsoleAppender(stream == log_stream::standard_error, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
