Describe adopted runs to an agent that has restarted

Callers saw batch tasks that stood still for good after only one node had restarted, and services on its VM whose latency rose because nothing beside them was slowed down any more.

Cause: the owner describes a run to its agent, as filling or with its latency target, when a report shows the run for the first time. A restarted agent that adopted the run got no description while the owner lived on, and therefore neither paced the run nor sent its pace.

The owner now notes for each run whether the present connection of the agent has had the description.

Test aRestartedAgentPacesTheRunsThatItAdopts failed before.

--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -30,6 +30,7 @@
     bool longRunning = false; ///< ends only if it fails or is stopped
     std::string image;
     bool stopOrdered = false;
+    bool described = false; ///< the agent's present connection has had its description
     /// Number of the orders that carry the start; 0: they have been delivered or lost by now.
     /// A report that covers these orders and lacks the run leads to a stop order.
     std::uint64_t orderNumber = 0;
--- a/src/libsched/scheduler_sharing_test.cpp
+++ b/src/libsched/scheduler_sharing_test.cpp
@@ -125,6 +125,29 @@
     BOOST_TEST((model.shown("large") != job_state::queued));
 }
 
+// Guards against runs that stand still for good after only their agent has restarted: the owner had
+// described them to the earlier process.
+BOOST_AUTO_TEST_CASE(aRestartedAgentPacesTheRunsThatItAdopts)
+{
+    fleet_model model(1);
+    model.longRunningMs = 3'600'000;
+    model.nodes[0].worker.usage = 10; // ms, of a target of 50
+    model.run(1'000);
+    model.send(service(model, "s", 1, 500));
+    model.run(1'500); // until the figures of the serving task are reported
+    model.send(fillingJob(model, "f", 1, 1'000));
+    model.run(200);
+    auto &running = model.nodes[0].worker.running;
+    BOOST_REQUIRE(running.count("f.0.0.0") > 0);
+    running.at("f.0.0.0").leftMs = 2'500;
+    model.run(1'500); // until the owner knows the run
+    BOOST_REQUIRE(running.count("f.0.0.0") > 0);
+    running.at("f.0.0.0").pace = 0;
+    model.restartAgent(model.nodes[0]);
+    BOOST_TEST(model.runUntil("f", job_state::completed, 3'000));
+    BOOST_TEST(model.starts.count("f.0.0.0 2") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(fillingTasksStayAwayFromServingOnesWhileThereIsRoom)
 {
     fleet_model model(3);
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -1,6 +1,7 @@
 #include "plantainpitch/sched/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace plantainpitch::sched {
 
@@ -36,8 +37,10 @@
     const auto found = m_workerByNode.find(node);
     if (found == m_workerByNode.end())
         return;
-    for (auto &[name, allocation] : found->second->runs)
+    for (auto &[name, allocation] : found->second->runs) {
         allocation.orderNumber = 0;
+        allocation.described = false; // the agent may be a new process
+    }
 }
 
 void scheduler::agentClosed(const std::string &node, instant /*now*/)
@@ -131,7 +134,7 @@
 void scheduler::reconcile(worker &worker, const agent_report &report)
 {
     std::set<std::pair<std::string, std::uint32_t>> reported;
-    std::vector<std::string> newlyReported;
+    std::vector<std::string> undescribed;
     for (const auto &each : report.starting)
         reported.emplace(each->task, each->run);
     for (const auto &each : report.ended)
@@ -156,8 +159,10 @@
         if (!location.taskState->reported) {
             location.taskState->reported = true;
             location.parentJob->begun = true;
-            newlyReported.push_back(each->task);
         }
+        const auto run = worker.runs.find(each->task);
+        if (run != worker.runs.end() && !std::exchange(run->second.described, true))
+            undescribed.push_back(each->task);
     }
     // Runs that were ordered but are not reported: a stop ensures that they never start.
     for (const auto &[name, allocation] : worker.runs) {
@@ -165,7 +170,7 @@
             && allocation.orderNumber <= report.ordersSeen)
             orderStop(worker, name, allocation.run);
     }
-    orderDescriptions(worker, newlyReported);
+    orderDescriptions(worker, undescribed);
 }
 
 void scheduler::onReport(const std::string &node, const agent_report &report, instant now)
