Give log lines of long-running tasks a rate limit of their own

A log line may now name a budget. Lines of one event share its limit only with those of the same budget, and log_lines_suppressed names it. run_ordered, run_ended and start_refused of long-running steps use the budget long_running. The loss of a worker wrote a number of runs only; run_lost now names each long-running one.

Tests: linesWithABudgetAreLimitedApartFromOthersOfTheirEvent, linesOfLongRunningRunsHaveABudgetOfTheirOwn and eachLongRunningRunThatIsLostWithItsWorkerHasALine.

--- a/src/include/plantainpitch/role/action/write_log.h
+++ b/src/include/plantainpitch/role/action/write_log.h
@@ -14,6 +14,9 @@
     log_level level = log_level::info;
     std::string event; ///< snake case, e.g. "task_claimed"
     std::vector<std::pair<std::string, std::string>> fields;
+    /// Lines of one event with the same budget share its rate limit. From a small fixed set; empty
+    /// for most lines.
+    std::string budget = {};
 
     bool operator==(const write_log &) const = default;
 };
--- a/src/include/plantainpitch/runtime/log_rate_limiter.h
+++ b/src/include/plantainpitch/runtime/log_rate_limiter.h
@@ -7,12 +7,13 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace plantainpitch::runtime {
 
-/// Limits the lines of each event per window, so that a repeated fault cannot fill the disk or
-/// slow the process down. Not thread-safe.
+/// Limits the lines of each event and budget per window, so that a repeated fault cannot fill the
+/// disk or slow the process down. Not thread-safe.
 class log_rate_limiter
 {
 public:
@@ -21,10 +22,11 @@
         , m_window(window)
     {}
 
-    /// True if a line of this event may be written now.
-    bool admit(const std::string &event, instant now);
+    /// True if this line may be written now.
+    bool admit(const write_log &line, instant now);
 
-    /// One line with the count for each event that had lines suppressed in a window that is over.
+    /// One line with the count for each event and budget that had lines suppressed in a window that
+    /// is over.
     std::vector<write_log> takeSuppressed(instant now);
 
 private:
@@ -37,7 +39,7 @@
 
     std::uint64_t m_linesPerWindow;
     duration m_window;
-    std::map<std::string, window_count> m_events;
+    std::map<std::pair<std::string, std::string>, window_count> m_counts; ///< by event and budget
 };
 
 } // namespace plantainpitch::runtime
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -209,7 +209,9 @@
 
     void logState();
     void log(log_level level, const char *event,
-             std::vector<std::pair<std::string, std::string>> fields);
+             std::vector<std::pair<std::string, std::string>> fields, const char *budget = "");
+    /// The budget of log lines about a task of the step.
+    [[nodiscard]] static const char *budgetOf(const step_spec &step);
 
     const scheduler_options m_options;
     const placement_policy &m_placement;
--- a/src/libruntime/log_line_test.cpp
+++ b/src/libruntime/log_line_test.cpp
@@ -28,9 +28,9 @@
     const instant start(std::chrono::seconds(100));
     int written = 0;
     for (int i = 0; i < 7; ++i)
-        written += limiter.admit("fault", start) ? 1 : 0;
+        written += limiter.admit({ .event = "fault" }, start) ? 1 : 0;
     BOOST_TEST(written == 2);
-    BOOST_TEST(limiter.admit("other", start));
+    BOOST_TEST(limiter.admit({ .event = "other" }, start));
     BOOST_TEST(limiter.takeSuppressed(start + std::chrono::seconds(9)).empty());
 
     const auto lines = limiter.takeSuppressed(start + std::chrono::seconds(10));
@@ -38,5 +38,28 @@
     BOOST_TEST(lines[0].event == "log_lines_suppressed");
     BOOST_TEST(
             (lines[0].fields == decltype(lines[0].fields){ { "of", "fault" }, { "count", "5" } }));
-    BOOST_TEST(limiter.admit("fault", start + std::chrono::seconds(10)));
+    BOOST_TEST(limiter.admit({ .event = "fault" }, start + std::chrono::seconds(10)));
+}
+
+// Guards against lines of long-running tasks that are lost among those of batch work (issue 17).
+BOOST_AUTO_TEST_CASE(linesWithABudgetAreLimitedApartFromOthersOfTheirEvent)
+{
+    log_rate_limiter limiter(2, std::chrono::seconds(10));
+    const instant start(std::chrono::seconds(100));
+    const write_log batch{ .event = "run_ended" };
+    const write_log lasting{ .event = "run_ended", .budget = "long_running" };
+    int written = 0;
+    for (int i = 0; i < 7; ++i)
+        written += limiter.admit(batch, start) ? 1 : 0;
+    BOOST_TEST(written == 2);
+    written = 0;
+    for (int i = 0; i < 5; ++i)
+        written += limiter.admit(lasting, start) ? 1 : 0;
+    BOOST_TEST(written == 2);
+
+    const auto lines = limiter.takeSuppressed(start + std::chrono::seconds(10));
+    BOOST_REQUIRE(lines.size() == 2U);
+    BOOST_TEST((lines[1].fields
+                == decltype(lines[1].fields){
+                        { "of", "run_ended" }, { "count", "3" }, { "budget", "long_running" } }));
 }
--- a/src/libruntime/log_rate_limiter.cpp
+++ b/src/libruntime/log_rate_limiter.cpp
@@ -2,9 +2,10 @@
 
 namespace plantainpitch::runtime {
 
-bool log_rate_limiter::admit(const std::string &event, instant now)
+bool log_rate_limiter::admit(const write_log &line, instant now)
 {
-    const auto [place, isNew] = m_events.try_emplace(event, window_count{ .start = now });
+    const auto [place, isNew] =
+            m_counts.try_emplace({ line.event, line.budget }, window_count{ .start = now });
     window_count &count = place->second;
     // A window with suppressed lines stays until takeSuppressed() has reported it.
     if (now - count.start >= m_window && count.suppressed == 0)
@@ -20,19 +21,22 @@
 std::vector<write_log> log_rate_limiter::takeSuppressed(instant now)
 {
     std::vector<write_log> lines;
-    for (auto place = m_events.begin(); place != m_events.end();) {
+    for (auto place = m_counts.begin(); place != m_counts.end();) {
         const window_count &count = place->second;
         if (now - count.start < m_window) {
             ++place;
             continue;
         }
         if (count.suppressed > 0) {
-            lines.push_back({ .level = log_level::warning,
-                              .event = "log_lines_suppressed",
-                              .fields = { { "of", place->first },
-                                          { "count", std::to_string(count.suppressed) } } });
+            write_log line{ .level = log_level::warning,
+                            .event = "log_lines_suppressed",
+                            .fields = { { "of", place->first.first },
+                                        { "count", std::to_string(count.suppressed) } } };
+            if (!place->first.second.empty())
+                line.fields.emplace_back("budget", place->first.second);
+            lines.push_back(std::move(line));
         }
-        place = m_events.erase(place);
+        place = m_counts.erase(place);
     }
     return lines;
 }
--- a/src/libruntime/logging.cpp
+++ b/src/libruntime/logging.cpp
@@ -76,7 +76,7 @@
         return;
     {
         const std::lock_guard lock(m_state->mutex);
-        if (!m_state->limiter.admit(line.event, m_state->time->now()))
+        if (!m_state->limiter.admit(line, m_state->time->now()))
             return;
     }
     m_state->logger.forcedLog(level, formatLogLine(line));
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -170,6 +170,8 @@
     std::int64_t longRunningMs = taskMs; ///< how long a task of a long-running step runs
     double lostAnswers = 0; ///< share of the calls to workers that are carried out 2 to 12 s late
     std::vector<std::string> violations;
+    std::vector<write_log> logLines; ///< of all owners
+    std::vector<write_log> agentLogLines; ///< of all agents
     std::map<std::uint64_t, sched::client_answer> answers;
     std::optional<stored_batch> batch; ///< on its way to the store
     std::set<std::string> starts; ///< "task run" of all runs that were seen
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -53,7 +53,8 @@
                 node.toAgent.push_back(std::move(each.content));
         }
     }
-    owner->takeLogLines();
+    for (write_log &line : owner->takeLogLines())
+        logLines.push_back(std::move(line));
 }
 
 void fleet_model::stepNode(node &node)
@@ -89,7 +90,8 @@
     toOwner.swap(node.toOwner);
     for (const sched::message &content : toOwner)
         owner->onReport(node.name, *content.content.Asagent_report(), now());
-    node.agent->takeLogLines();
+    for (write_log &line : node.agent->takeLogLines())
+        agentLogLines.push_back(std::move(line));
 }
 
 sched::advice fleet_model::adviseOn(const sched::advice_request &request)
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -202,9 +202,16 @@
 }
 
 void scheduler::log(log_level level, const char *event,
-                    std::vector<std::pair<std::string, std::string>> fields)
+                    std::vector<std::pair<std::string, std::string>> fields, const char *budget)
 {
-    m_logLines.push_back({ level, event, std::move(fields) });
+    m_logLines.push_back({ level, event, std::move(fields), budget });
+}
+
+/// Long-running tasks are few, and each of their lines counts; batch work would use up the common
+/// budget of an event.
+const char *scheduler::budgetOf(const step_spec &step)
+{
+    return step.longRunning ? "long_running" : "";
 }
 
 } // namespace plantainpitch::sched
--- /dev/null
+++ b/src/libsched/scheduler_log_test.cpp
@@ -0,0 +1,117 @@
+#include "fleet_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace plantainpitch;
+using test::fleet_model;
+using test::requireNoViolations;
+
+namespace {
+
+std::string field(const write_log &line, const std::string &name)
+{
+    for (const auto &[key, value] : line.fields) {
+        if (key == name)
+            return value;
+    }
+    return {};
+}
+
+/// A fleet whose log lines are kept, with services that run until they are cancelled.
+struct logged_fleet
+{
+    explicit logged_fleet(std::uint32_t nodes)
+        : model(nodes)
+    {
+        model.longRunningMs = 3'600'000;
+        model.run(1'000);
+    }
+
+    void startService(const std::string &id, std::uint32_t tasks, std::uint32_t cpu)
+    {
+        auto call = model.submission(id, tasks, cpu);
+        auto &step = *call.submitted->spec->steps[0];
+        step.longRunning = true;
+        step.maxPerVm = 1;
+        step.estimateMs = 0;
+        model.send(call);
+        model.run(500);
+    }
+
+    fleet_model::node &placeOf(const std::string &task)
+    {
+        for (auto &each : model.nodes) {
+            if (each.worker.running.count(task) > 0)
+                return each;
+        }
+        BOOST_FAIL(task << " does not run");
+        return model.nodes.front();
+    }
+
+    std::vector<write_log> lines(const std::string &event) const
+    {
+        std::vector<write_log> result;
+        std::copy_if(model.logLines.begin(), model.logLines.end(), std::back_inserter(result),
+                     [&event](const write_log &line) { return line.event == event; });
+        return result;
+    }
+    std::vector<write_log> lines(const std::string &event, const std::string &task) const
+    {
+        std::vector<write_log> result = lines(event);
+        std::erase_if(result,
+                      [&task](const write_log &line) { return field(line, "task") != task; });
+        return result;
+    }
+
+    fleet_model model;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(scheduler_log)
+
+// Guards against runs of services whose start and end are missing from the log (issue 17): batch
+// work had used up the budget of the events.
+BOOST_AUTO_TEST_CASE(linesOfLongRunningRunsHaveABudgetOfTheirOwn)
+{
+    logged_fleet fleet(2);
+    fleet.startService("service", 2, 1'000);
+    fleet.model.send(fleet.model.submission("batch", 2));
+    fleet.model.run(2'000);
+    fleet.placeOf("service.0.0.0").worker.end("service.0.0.0", sched::run_outcome::failed);
+    fleet.model.run(2'000);
+    for (const char *event : { "run_ordered", "run_ended" }) {
+        const auto service = fleet.lines(event, "service.0.0.0");
+        BOOST_REQUIRE(!service.empty());
+        BOOST_TEST(service.back().budget == "long_running");
+        const auto batch = fleet.lines(event, "batch.0.0.0");
+        BOOST_REQUIRE(!batch.empty());
+        BOOST_TEST(batch.back().budget.empty());
+    }
+    requireNoViolations(fleet.model);
+}
+
+// Guards against a service whose log shows a start after a start: the loss of a worker was logged
+// with a number of runs only.
+BOOST_AUTO_TEST_CASE(eachLongRunningRunThatIsLostWithItsWorkerHasALine)
+{
+    logged_fleet fleet(3);
+    fleet.startService("service", 2, 1'000);
+    fleet.model.run(1'000);
+    auto &place = fleet.placeOf("service.0.0.0");
+    fleet.model.crashWorker(place);
+    fleet.model.run(15'000);
+    const auto lost = fleet.lines("run_lost");
+    BOOST_REQUIRE(lost.size() == 1U);
+    BOOST_TEST(field(lost[0], "task") == "service.0.0.0");
+    BOOST_TEST(field(lost[0], "run") == "1");
+    BOOST_TEST(field(lost[0], "worker") == place.worker.info.id);
+    BOOST_TEST(!field(lost[0], "reason").empty());
+    BOOST_TEST(lost[0].budget == "long_running");
+    BOOST_TEST(fleet.lines("run_ordered", "service.0.0.0").size() == 2U);
+    requireNoViolations(fleet.model);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -144,7 +144,8 @@
         { { "task", name },
           { "run", std::to_string(run) },
           { "worker", worker.key.id },
-          { "room_cpu", std::to_string(worker.freeResources().cpu) } });
+          { "room_cpu", std::to_string(worker.freeResources().cpu) } },
+        budgetOf(spec));
 }
 
 void scheduler::placeStep(job &job, const queue_config &queue, occurrence &occurrence,
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -159,6 +159,12 @@
         { "outcome", std::to_string(end.outcome) },
         { "current", current ? "yes" : "no" }
     };
+    const char *budget = "";
+    if (location.taskState) {
+        const auto step =
+                static_cast<std::uint32_t>(location.step - location.parentOccurrence->steps.data());
+        budget = budgetOf(location.parentJob->stepSpec(step));
+    }
     if (current) {
         using std::chrono::milliseconds;
         const auto elapsed =
@@ -171,7 +177,7 @@
         fields.emplace_back("fills", spec.fills ? "yes" : "no");
         fields.emplace_back("serving_beside", std::to_string(worker.servingRuns));
     }
-    log(log_level::info, "run_ended", std::move(fields));
+    log(log_level::info, "run_ended", std::move(fields), budget);
 }
 
 /// Stores a checkpoint. One from a gang member applies to all members, as all have to resume from
@@ -223,11 +229,13 @@
     if (!location.taskState || location.taskState->phase != task_phase::active
         || location.taskState->run != refusal.run || location.taskState->place != worker.key)
         return;
+    const step_spec &spec = location.parentJob->stepSpec(task_name::parse(refusal.task)->step);
     log(log_level::warning, "start_refused",
         { { "task", refusal.task },
           { "run", std::to_string(refusal.run) },
           { "worker", worker.key.id },
-          { "reason", refusal.reason } });
+          { "reason", refusal.reason } },
+        budgetOf(spec));
     requeue(location);
     location.taskState->retryAt = now + refusalPause;
     stopGang(location);
@@ -272,9 +280,17 @@
         worker.release(name, allocation.run);
     for (const auto &[name, allocation] : runs) {
         const task_location location = findTask(name);
-        if (location.taskState && location.taskState->phase == task_phase::active
-            && location.taskState->run == allocation.run)
-            requeue(location);
+        if (!location.taskState || location.taskState->phase != task_phase::active
+            || location.taskState->run != allocation.run)
+            continue;
+        if (allocation.longRunning)
+            log(log_level::warning, "run_lost",
+                { { "task", name },
+                  { "run", std::to_string(allocation.run) },
+                  { "worker", worker.key.id },
+                  { "reason", reason } },
+                budgetOf(location.parentJob->stepSpec(task_name::parse(name)->step)));
+        requeue(location);
     }
     m_passNeeded = true;
 }
