Log runs that an agent adopts and paces that are not confirmed

runs_adopted has the number of runs that an earlier process has left, pace_sent each pace for a run whose pace is unknown, and pace_not_confirmed each pace call that was refused or not answered.

Test: adoptedRunsAndUnconfirmedPacesAreLogged.

--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace plantainpitch;
 using std::chrono::milliseconds;
@@ -152,6 +153,22 @@
     BOOST_TEST(agent.pacesAfterListing(sched::worker_reply_kind::accepted).empty());
 }
 
+// Guards against adopted runs and paces without an answer that the agent's log does not show: what
+// stood still on a worker could not be told from it (issue 17).
+BOOST_AUTO_TEST_CASE(adoptedRunsAndUnconfirmedPacesAreLogged)
+{
+    granted_agent agent;
+    agent.pacesAfterListing(sched::worker_reply_kind::accepted);
+    agent.describeAsFilling();
+    agent.pacesAfterListing(sched::worker_reply_kind::unanswered);
+    std::map<std::string, int> events;
+    for (const write_log &line : agent.subject.takeLogLines())
+        ++events[line.event];
+    BOOST_TEST(events["runs_adopted"] == 1);
+    BOOST_TEST(events["pace_sent"] == 1);
+    BOOST_TEST(events["pace_not_confirmed"] == 1);
+}
+
 // Guards against a pace that is carried out late, after a newer one, and stays.
 BOOST_AUTO_TEST_CASE(anUnansweredPaceIsRepeatedWhileItMayBeCarriedOut)
 {
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -244,11 +244,19 @@
     m_listingReceived = true;
     processEnds(listing);
     std::set<run_key> running;
+    std::size_t adopted = 0;
     for (const run_status &status : listing.running) {
         const run_key key{ status.task, status.run };
+        adopted += m_runs.count(key) > 0 ? 0 : 1;
         running.insert(key);
         updateRun(key, status);
     }
+    if (adopted > 0) {
+        log(log_level::info, "runs_adopted",
+            { { "worker", m_worker->id },
+              { "runs", std::to_string(adopted) },
+              { "of", std::to_string(listing.running.size()) } });
+    }
     std::vector<run_key> absent;
     for (auto &[key, state] : m_runs) {
         const bool listed = running.count(key) > 0;
@@ -329,6 +337,14 @@
     paceCall.task = key.first;
     paceCall.run = key.second;
     paceCall.percent = m_pacing.percentOf(key.first);
+    // Not for each change of pace: those of confirmed paces are many.
+    if (!state.confirmedPace) {
+        log(log_level::info, "pace_sent",
+            { { "task", key.first },
+              { "run", std::to_string(key.second) },
+              { "percent", std::to_string(paceCall.percent) },
+              { "before", "unknown" } });
+    }
     m_calls.push_back(std::move(paceCall));
 }
 
@@ -344,6 +360,11 @@
         return;
     }
     state.confirmedPace.reset();
+    log(log_level::warning, "pace_not_confirmed",
+        { { "task", call.task },
+          { "run", std::to_string(call.run) },
+          { "percent", std::to_string(call.percent) },
+          { "reason", reply.kind == worker_reply_kind::unanswered ? "unanswered" : "refused" } });
     if (reply.kind == worker_reply_kind::unanswered)
         state.paceUncertainUntil = now + lateCallWindow;
 }
