Log why tasks wait and when workers are excluded

task_waiting gives the numbers of workers by what keeps an overdue long-running task from them, at most one line in 5 s for a task and four in a pass; job_starved does the same for a starved job, at most one a second. The figures are counted only when a line is due. worker_excluded and worker_readmitted are written in the first pass after the start and the end of an exclusion, with the reason, the jobs or runs that caused it and the duration.

No decision changes. Tests: theLogSaysWhyALongRunningTaskWaits, theLogSaysWhyAJobIsStarved, anExclusionForFailuresIsLoggedAtItsStartAndItsEnd and anExclusionForStalledRunsIsLoggedWithTheRuns.

--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -24,6 +24,7 @@
     bool reported = false; ///< the worker has reported the run
     instant retryAt{}; ///< not started again before
     std::optional<instant> waitingSince; ///< of a long-running step: first pass that found it so
+    instant nextWaitingLog{}; ///< no line about its wait before
     instant orderedAt{}; ///< of the last start; the takeover, if an earlier owner ordered it
 };
 
@@ -54,6 +55,7 @@
     bool begun = false; ///< some task has run, as far as this owner has seen
     instant received{};
     instant objective{}; ///< end of the time in which completion earns full credit
+    instant nextStarvedLog{}; ///< no line about its wait before
     instant lastActive{}; ///< last pass at which a task was active; at first, the reception
 
     /// State that the store has acknowledged; clients see only this one.
--- a/src/include/plantainpitch/sched/progress_monitor.h
+++ b/src/include/plantainpitch/sched/progress_monitor.h
@@ -35,6 +35,8 @@
     [[nodiscard]] double speed() const;
     /// Returns whether runs of several jobs are slow, or all runs are stalled.
     [[nodiscard]] bool isSlow() const;
+    /// Returns some of the runs that made no progress between the last two reports.
+    [[nodiscard]] const std::vector<std::string> &stalledRuns() const { return m_stalled; }
 
 private:
     std::map<std::string, run_progress> m_last; ///< by task
@@ -42,6 +44,7 @@
     double m_doneMs = 0; ///< exponentially weighted over the reports
     double m_expectedMs = 0;
     std::set<std::string> m_jobs; ///< at the last report
+    std::vector<std::string> m_stalled; ///< task names, at most a few
 };
 
 } // namespace plantainpitch::sched
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -7,6 +7,7 @@
 #include "plantainpitch/sched/fleet_config.h"
 #include "plantainpitch/sched/job.h"
 #include "plantainpitch/sched/messages.h"
+#include "plantainpitch/sched/placement_obstacles.h"
 #include "plantainpitch/sched/placement_policy.h"
 #include "plantainpitch/sched/run_outcome.h"
 #include "plantainpitch/sched/stored_record.h"
@@ -207,6 +208,16 @@
     void moveThrottledRun(worker &worker, const std::vector<run_progress> &batchRuns, instant now);
     void watchProgress(worker &worker, const agent_report &report, instant now);
 
+    // scheduler_log.cpp
+    [[nodiscard]] placement_obstacles obstaclesTo(const job &job, const queue_config &queue,
+                                                  const occurrence &occurrence, std::uint32_t step,
+                                                  instant now);
+    void logObstacles(const char *event, const std::string &name, duration waited,
+                      const placement_obstacles &obstacles, const step_spec &step);
+    void logWaitingTask(const overdue_task &waiting, std::uint32_t &linesInPass, instant now);
+    void logStarvedJob(job &job, const queue_config &queue, instant now);
+    void logExclusions(instant now);
+
     void logState();
     void log(log_level level, const char *event,
              std::vector<std::pair<std::string, std::string>> fields, const char *budget = "");
@@ -242,6 +253,7 @@
     instant m_lastPass{};
     instant m_lastSubmission{};
     instant m_lastStateLog{};
+    instant m_nextStarvedLog{}; ///< no line about a starved job before
 
     staged_effects m_staged; ///< go with the next batch
     staged_effects m_inFlight;
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -88,6 +88,12 @@
     instant excludedUntil{};
     std::uint32_t exclusions = 0;
 
+    // For log lines about exclusions.
+    std::string exclusionReason; ///< of the last exclusion; one of a small set
+    std::string exclusionCause; ///< jobs or tasks, separated by commas
+    std::string loggedExclusion; ///< reason in the log of a present exclusion; empty: none
+    instant excludedSince{}; ///< valid if loggedExclusion is set
+
     [[nodiscard]] resources freeResources() const { return capacity - used; }
     /// Whether the resources fit beside the runs and the held resources.
     [[nodiscard]] bool hasRoomFor(const resources &needed) const
--- a/src/libsched/progress_monitor.cpp
+++ b/src/libsched/progress_monitor.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t minJobsForSlow = 2;
 /// Runs with a lower pace are ignored: they progress too little to be measured.
 constexpr double minPace = 0.5;
+/// Stalled runs that are kept for log lines.
+constexpr std::size_t maxStalledRuns = 5;
 
 } // namespace
 
@@ -29,12 +31,15 @@
     double expectedMs = 0;
     std::set<std::string> jobs;
     std::map<std::string, run_progress> present;
+    m_stalled.clear();
     for (const run_progress &each : runs) {
         const auto before = m_last.find(each.task);
         if (before != m_last.end() && std::min(before->second.pace, each.pace) >= minPace) {
             doneMs += std::max(0.0, each.doneMs - before->second.doneMs);
             expectedMs += elapsedMs * each.pace;
             jobs.insert(each.job);
+            if (each.doneMs <= before->second.doneMs && m_stalled.size() < maxStalledRuns)
+                m_stalled.push_back(each.task);
         }
         present[each.task] = each;
     }
--- a/src/libsched/scheduler_log_test.cpp
+++ b/src/libsched/scheduler_log_test.cpp
@@ -114,4 +114,82 @@
     requireNoViolations(fleet.model);
 }
 
+// Guards against a task that waits without any line that says why (issue 17), and against a line in
+// each pass.
+BOOST_AUTO_TEST_CASE(theLogSaysWhyALongRunningTaskWaits)
+{
+    logged_fleet fleet(3);
+    fleet.startService("service", 3, 2'500);
+    auto &place = fleet.placeOf("service.0.0.0");
+    fleet.model.crashWorker(place);
+    fleet.model.run(30'000);
+    const auto lines = fleet.lines("task_waiting", "service.0.0.0");
+    BOOST_TEST(lines.size() >= 2U);
+    BOOST_TEST(lines.size() <= 7U);
+    BOOST_REQUIRE(!lines.empty());
+    BOOST_TEST(lines.back().budget == "long_running");
+    BOOST_TEST(std::stoll(field(lines.back(), "waited_ms")) >= 5'000);
+    BOOST_TEST(field(lines.back(), "vm_limit") == "2");
+    requireNoViolations(fleet.model);
+}
+
+// Guards against a batch job that waits without any line that says why.
+BOOST_AUTO_TEST_CASE(theLogSaysWhyAJobIsStarved)
+{
+    logged_fleet fleet(2);
+    fleet.startService("service", 2, 3'500);
+    fleet.model.send(fleet.model.submission("batch", 1));
+    fleet.model.run(20'000);
+    const auto lines = fleet.lines("job_starved", "batch.0.0.0");
+    BOOST_TEST(lines.size() >= 2U);
+    BOOST_TEST(lines.size() <= 5U);
+    BOOST_REQUIRE(!lines.empty());
+    BOOST_TEST(field(lines.back(), "workers") == "2");
+    BOOST_TEST(field(lines.back(), "short_of_cpu") == "2");
+    requireNoViolations(fleet.model);
+}
+
+// Guards against a worker that is excluded for failures without a line, or whose readmission is
+// not to be seen.
+BOOST_AUTO_TEST_CASE(anExclusionForFailuresIsLoggedAtItsStartAndItsEnd)
+{
+    logged_fleet fleet(1);
+    fleet.model.nodes.front().worker.failsAll = true;
+    for (const char *job : { "one", "two", "three" })
+        fleet.model.send(fleet.model.submission(job, 1));
+    fleet.model.run(2'000);
+    fleet.model.nodes.front().worker.failsAll = false;
+    fleet.model.run(10'000);
+    const auto excluded = fleet.lines("worker_excluded");
+    BOOST_REQUIRE(!excluded.empty());
+    BOOST_TEST(field(excluded[0], "worker") == fleet.model.nodes.front().worker.info.id);
+    BOOST_TEST(field(excluded[0], "reason") == "failures");
+    for (const char *job : { "one", "two", "three" })
+        BOOST_TEST(field(excluded[0], "because_of").find(job) != std::string::npos);
+    const auto readmitted = fleet.lines("worker_readmitted");
+    BOOST_REQUIRE(readmitted.size() == excluded.size());
+    BOOST_TEST(std::stoll(field(readmitted[0], "took_ms")) >= 2'500);
+    requireNoViolations(fleet.model);
+}
+
+// Guards against a line for each report of a worker that stands still; the lines have to name the
+// runs.
+BOOST_AUTO_TEST_CASE(anExclusionForStalledRunsIsLoggedWithTheRuns)
+{
+    logged_fleet fleet(1);
+    fleet.model.nodes.front().worker.makesNoProgress = true;
+    fleet.model.send(fleet.model.submission("batch", 2));
+    fleet.model.run(15'000);
+    const auto excluded = fleet.lines("worker_excluded");
+    // The runs are stopped and started again, so the exclusion ends and recurs; it lasts 2.5 s.
+    BOOST_REQUIRE(!excluded.empty());
+    BOOST_TEST(excluded.size() <= 5U);
+    BOOST_TEST(field(excluded[0], "reason") == "stalled_runs");
+    BOOST_TEST(field(excluded[0], "because_of").find("batch.0.0.0") != std::string::npos);
+    const auto readmitted = fleet.lines("worker_readmitted");
+    BOOST_TEST(readmitted.size() <= excluded.size());
+    BOOST_TEST(readmitted.size() + 1 >= excluded.size());
+    requireNoViolations(fleet.model);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_long_running.cpp
+++ b/src/libsched/scheduler_long_running.cpp
@@ -81,6 +81,7 @@
 {
     for (auto &[key, worker] : m_workers)
         worker->held = {};
+    std::uint32_t waitingLines = 0;
     for (const overdue_task &each : findOverdueLongRunning(now)) {
         const step_spec &spec = each.parentJob->stepSpec(each.step);
         task &task = each.parentOccurrence->steps[each.step].tasks[each.index];
@@ -89,11 +90,13 @@
         const bool takesExcluded = now - each.since >= takesExcludedAfter;
         const auto eligible = eligibleWorkers(*each.parentJob, *each.queue, *each.parentOccurrence,
                                               each.step, takesExcluded, now);
-        if (worker *choice = m_placement.choose(eligible, spec, task))
+        if (worker *choice = m_placement.choose(eligible, spec, task)) {
             start(*each.parentJob, *each.parentOccurrence, each.step, each.index, *choice,
                   task.run + 1, now);
-        else
+        } else {
+            logWaitingTask(each, waitingLines, now);
             holdRoom(each, now);
+        }
     }
 }
 
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -111,6 +111,7 @@
     ++stepRun.active;
     task.phase = task_phase::active;
     task.waitingSince.reset();
+    task.nextWaitingLog = {};
     task.run = run;
     task.place = worker.key;
     task.reported = false;
@@ -258,6 +259,7 @@
 {
     m_passNeeded = false;
     m_lastPass = now;
+    logExclusions(now);
     placeOverdueLongRunning(now);
     struct ranked
     {
@@ -308,6 +310,10 @@
         placeSteps(*entry.target, *entry.queue, false, now);
     if (queueIsShort && !draining)
         placeStarvedJobs();
+    for (const ranked &entry : waiting) {
+        if (now - entry.target->lastActive >= starvationThreshold && !isActive(*entry.target))
+            logStarvedJob(*entry.target, *entry.queue, now);
+    }
 }
 
 void scheduler::placeSteps(job &job, const queue_config &queue, bool starved, instant now)
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -239,8 +239,13 @@
     requeue(location);
     location.taskState->retryAt = now + refusalPause;
     stopGang(location);
-    if (refusal.reason == "room")
+    if (refusal.reason == "room") {
+        if (worker.excludedUntil <= now) {
+            worker.exclusionReason = "refused_for_room";
+            worker.exclusionCause = refusal.task;
+        }
         worker.excludedUntil = std::max(worker.excludedUntil, now + refusingWorkerPause);
+    }
     if (refusal.reason == "ticket")
         m_advice.ticketRefused(task_name::parse(refusal.task)->stepText(), worker.key.id);
     if (refusal.reason == "unhealthy")
--- a/src/libsched/scheduler_sharing.cpp
+++ b/src/libsched/scheduler_sharing.cpp
@@ -178,6 +178,13 @@
               { "speed", std::to_string(worker.progress.speed()) },
               { "runs", std::to_string(batchRuns.size()) } });
     }
+    const char *reason = worker.progress.stalledRuns().empty() ? "slow_runs" : "stalled_runs";
+    if (worker.excludedUntil <= now || worker.exclusionReason == "refused_for_room") {
+        worker.exclusionReason = reason;
+        worker.exclusionCause.clear();
+        for (const std::string &each : worker.progress.stalledRuns())
+            worker.exclusionCause += (worker.exclusionCause.empty() ? "" : ",") + each;
+    }
     worker.excludedUntil = std::max(worker.excludedUntil, now + slowWorkerPause);
     const double speed = std::max(worker.progress.speed(), 0.05);
     for (const run_progress &each : batchRuns) {
--- a/src/libsched/worker_health.cpp
+++ b/src/libsched/worker_health.cpp
@@ -23,6 +23,10 @@
         return;
     worker.excludedUntil = now + firstExclusion * (1U << std::min(worker.exclusions, maxDoublings));
     ++worker.exclusions;
+    worker.exclusionReason = "failures";
+    worker.exclusionCause.clear();
+    for (const std::string &each : worker.failedJobs)
+        worker.exclusionCause += (worker.exclusionCause.empty() ? "" : ",") + each;
     // One more failure after the pause excludes the worker again.
     worker.failedJobs.resize(jobsBeforeExclusion - 1);
 }
