--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -111,6 +111,7 @@
     ++stepRun.active;
     task.phase = task_phase::active;
     task.waitingSince.reset();
+    task.nextWaitingLog = {};
     task.run = run;
     task.place = worker.key;
     task.reported = false;
@@ -144,7 +145,8 @@
         { { "task", name },
           { "run", std::to_string(run) },
           { "worker", worker.key.id },
-          { "room_cpu", std::to_string(worker.freeResources().cpu) } });
+          { "room_cpu", std::to_string(worker.freeResources().cpu) } },
+        budgetOf(spec));
 }
 
 void scheduler::placeStep(job &job, const queue_config &queue, occurrence &occurrence,
@@ -257,6 +259,7 @@
 {
     m_passNeeded = false;
     m_lastPass = now;
+    logExclusions(now);
     placeOverdueLongRunning(now);
     struct ranked
     {
@@ -307,6 +310,10 @@
         placeSteps(*entry.target, *entry.queue, false, now);
     if (queueIsShort && !draining)
         placeStarvedJobs();
+    for (const ranked &entry : waiting) {
+        if (now - entry.target->lastActive >= starvationThreshold && !isActive(*entry.target))
+            logStarvedJob(*entry.target, *entry.queue, now);
+    }
 }
 
 void scheduler::placeSteps(job &job, const queue_config &queue, bool starved, instant now)
