Ask for tickets on excluded workers for work that may use them

Cause: overdue long-running tasks and starved jobs may use excluded workers, but no tickets were asked for on these. A task that needs a ticket waited until the exclusion ended, up to 24 s.

The request now includes excluded workers for a task that may use them.

Test aTaskThatNeedsATicketRunsAgainAlthoughAllWorkersAreExcluded failed before. aTaskThatNeedsATicketRunsAgainOnTheOnlyFitWorker passed before as well; it covers a case that no test did. sched passes.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -164,7 +164,7 @@
                                                         std::uint32_t step, bool starved,
                                                         instant now);
     void requestTickets(const job &job, const queue_config &queue, const occurrence &occurrence,
-                        std::uint32_t step, instant now);
+                        std::uint32_t step, bool starved, instant now);
     void placeGang(job &job, const queue_config &queue, occurrence &occurrence, std::uint32_t step,
                    bool starved, instant now);
     [[nodiscard]] std::vector<worker *> planGang(const job &job, const occurrence &occurrence,
--- a/src/libsched/scheduler_lasting_test.cpp
+++ b/src/libsched/scheduler_lasting_test.cpp
@@ -35,11 +35,34 @@
         model.run(500);
     }
 
+    /// Adds a queue "ticketed"; only the given workers get tickets for its steps.
+    void requireTickets(const std::set<std::string> &fitWorkers)
+    {
+        model.config.queues["ticketed"] = model.config.queues["batch"];
+        model.config.queues["ticketed"].name = "ticketed";
+        model.config.queues["ticketed"].needsTickets = true;
+        model.eligibleWorkers = fitWorkers;
+        model.newOwner();
+        model.run(1'000);
+    }
+
+    /// Starts the job "service" in the queue "ticketed".
+    void startTicketedService(std::uint32_t tasks, std::uint32_t cpu)
+    {
+        auto call = model.submission("service", tasks, cpu);
+        call.queue = "ticketed";
+        call.submitted->queue = "ticketed";
+        call.submitted->spec->steps[0]->longRunning = true;
+        call.submitted->spec->steps[0]->maxPerVm = 1;
+        model.send(call);
+        model.run(1'000);
+    }
+
     /// Runs for \a ms while small jobs are submitted; stops early once \a reached returns true.
     bool runUnderLoad(std::int64_t ms, const std::function<bool()> &reached)
     {
         for (std::int64_t passed = 0; passed < ms; passed += submitMs) {
-            model.send(model.submission("small-" + std::to_string(++jobs), 4, 500));
+            model.send(model.submission("small-" + std::to_string(++jobs), loadTasks, 500));
             model.run(submitMs);
             if (reached())
                 return true;
@@ -67,6 +90,7 @@
 
     static constexpr std::int64_t submitMs = 100;
     fleet_model model;
+    std::uint32_t loadTasks = 4; ///< of each small job
     int jobs = 0;
 };
 
@@ -169,6 +193,40 @@
     requireNoViolations(fleet.model);
 }
 
+// Guards against a service with tickets that waits while all workers are excluded: tickets were not
+// asked for on them.
+BOOST_AUTO_TEST_CASE(aTaskThatNeedsATicketRunsAgainAlthoughAllWorkersAreExcluded)
+{
+    busy_fleet fleet(2);
+    fleet.requireTickets({ "worker-node-0", "worker-node-1" });
+    fleet.startTicketedService(2, 2'500);
+    for (auto &each : fleet.model.nodes)
+        each.worker.failsAll = true;
+    fleet.runUnderLoad(20'000); // the exclusion has grown to its longest
+    for (auto &each : fleet.model.nodes)
+        each.worker.failsAll = false;
+    auto *place = fleet.find("service.0.0.0");
+    BOOST_REQUIRE(place);
+    place->worker.end("service.0.0.0", sched::run_outcome::failed);
+    BOOST_TEST(fleet.runsAgain("service.0.0.0", restartMs));
+    requireNoViolations(fleet.model);
+}
+
+// Guards against room that is held for a task only on workers that may not run it.
+BOOST_AUTO_TEST_CASE(aTaskThatNeedsATicketRunsAgainOnTheOnlyFitWorker)
+{
+    busy_fleet fleet(5);
+    fleet.loadTasks = 8;
+    fleet.requireTickets({ "worker-node-4" });
+    fleet.startTicketedService(1, 3'500);
+    fleet.runUnderLoad(5'000);
+    auto *place = fleet.find("service.0.0.0");
+    BOOST_REQUIRE(place);
+    place->worker.end("service.0.0.0", sched::run_outcome::failed);
+    BOOST_TEST(fleet.runsAgain("service.0.0.0", restartMs));
+    requireNoViolations(fleet.model);
+}
+
 // Guards against capacity that is kept free on every VM for one task of a service.
 BOOST_AUTO_TEST_CASE(smallTasksGoOnStartingWhileATaskOfAServiceWaits)
 {
--- a/src/libsched/scheduler_long_running.cpp
+++ b/src/libsched/scheduler_long_running.cpp
@@ -84,9 +84,10 @@
     for (const overdue_task &each : findOverdueLongRunning(now)) {
         const step_spec &spec = each.parentJob->stepSpec(each.step);
         task &task = each.parentOccurrence->steps[each.step].tasks[each.index];
-        if (each.queue->needsTickets)
-            requestTickets(*each.parentJob, *each.queue, *each.parentOccurrence, each.step, now);
         const bool takesExcluded = now - each.since >= takesExcludedAfter;
+        if (each.queue->needsTickets)
+            requestTickets(*each.parentJob, *each.queue, *each.parentOccurrence, each.step,
+                           takesExcluded, now);
         const auto eligible = eligibleWorkers(*each.parentJob, *each.queue, *each.parentOccurrence,
                                               each.step, takesExcluded, now);
         if (worker *choice = m_placement.choose(eligible, spec, task))
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -317,17 +317,18 @@
                 continue;
             const bool startable = job.dependenciesDone(occurrence, step);
             if (queue.needsTickets && (startable || dependenciesStarted(job, occurrence, step)))
-                requestTickets(job, queue, occurrence, step, now);
+                requestTickets(job, queue, occurrence, step, starved, now);
             if (startable)
                 placeStep(job, queue, occurrence, step, starved, now);
         }
     }
 }
 
-/// Has an agent ask which workers may run the step. The answer is not stored: a later owner asks
-/// again.
+/// Has an agent ask which workers may run the step; a starved step may also need excluded workers.
+/// The answer is not stored: a later owner asks again.
 void scheduler::requestTickets(const job &job, const queue_config &queue,
-                               const occurrence &occurrence, std::uint32_t step, instant now)
+                               const occurrence &occurrence, std::uint32_t step, bool starved,
+                               instant now)
 {
     const std::string agent = m_advice.chooseAgent(m_connected);
     if (agent.empty())
@@ -336,7 +337,8 @@
     std::vector<std::string> eligible;
     std::vector<std::string> withoutCapacity;
     for (const auto &[key, candidate] : m_workers) {
-        if (!mayRun(*candidate, queue, spec) || candidate->excludedUntil > now)
+        const bool excluded = candidate->excludedUntil > now;
+        if (!mayRun(*candidate, queue, spec) || (excluded && !starved))
             continue;
         const bool hasCapacity = candidate->hasRoomFor(reservation(spec))
                                  && m_placement.admits(*candidate, spec, false);
