Check lasting tasks in the soak while traffic runs

The soak looked at lasting tasks only after all traffic had stopped, when every task finds a place, and had two of one small size.

It now hands in five lasting jobs of several sizes, some of whose first runs fail, and a client keeps more small tasks waiting than the workers have processors. After the last fault the traffic goes on for 11 s. In spans without faults each lasting task has to run again within 9 s if a worker has capacity for it twice beside its other lasting tasks. The latency of the serving tasks depends on the filling runs and their pace, so that these are paced.

--- a/testsuite/soak/client.py
+++ b/testsuite/soak/client.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from jobs import lasting_job, random_job
+from jobs import lasting_jobs, load_job, random_job
 
 DEADLINE_S = 3.0
 ATTEMPTS = 5
@@ -65,8 +65,8 @@
         self._connection = None
 
     def _work(self):
-        for number in range(2 if self._lasting else 0):
-            self._submit(lasting_job(self._random))
+        for job in lasting_jobs(self._random) if self._lasting else []:
+            self._submit(job)
         while not self._stop:
             job = random_job(self._random)
             self._submit(job)
@@ -83,6 +83,7 @@
             status, _, retry_after = self.call("POST", self._queue + job.name, job.document)
             statuses.append(status)
             if 200 <= status < 300:
+                job.accepted_at = time.monotonic()
                 job.accepted = True
                 self._mine.append(job)
                 return
@@ -107,3 +108,18 @@
             job.state = "unknown"
             self._promises.check_state(job, "unknown")
         return job.state if status in (200, 410) else None
+
+
+class LoadClient(Client):
+    """Keeps more small tasks waiting than the workers have capacity for."""
+
+    OPEN_JOBS = 10  # with 8 tasks each, 80 processors of 32
+
+    def _work(self):
+        while not self._stop:
+            waiting = [job for job in self._mine
+                       if not job.hopeless and self._promises.unfinished(job)]
+            if len(waiting) < self.OPEN_JOBS:
+                self._submit(load_job(self._random))
+            else:
+                time.sleep(0.1)
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -4,6 +4,8 @@
 import threading
 import time
 
+from worker import LATE_S
+
 LONGEST_FAULT_S = 4.0
 
 
@@ -15,6 +17,8 @@
         self._promises = promises
         self._lock = threading.Lock()
         self.log = []
+        self._active = 0
+        self._last_end = time.monotonic()
         kinds = [self.kill, self.terminate, self.freeze, self.herd, self.reload, self.store_outage,
                  self.store_slow, self.store_lost, self.store_compact, self.store_rebalance,
                  self.store_cut, self.client_cut, self.worker_crash, self.worker_hang,
@@ -32,12 +36,28 @@
             time.sleep(max(0.0, begin + at - time.monotonic()))
             fault = self._kinds[kind]
             self.log.append(f"{time.monotonic():.3f} {fault.__name__} {for_s:.1f} s")
-            threads.append(threading.Thread(target=fault, args=(for_s, random.Random(seed)),
+            threads.append(threading.Thread(target=self._carry_out,
+                                            args=(fault, for_s, random.Random(seed)),
                                             daemon=True))
             threads[-1].start()
         for thread in threads:
             thread.join()
 
+    def _carry_out(self, fault, for_s, generator):
+        with self._lock:
+            self._active += 1
+        try:
+            fault(for_s, generator)
+        finally:
+            with self._lock:
+                self._active -= 1
+                self._last_end = max(self._last_end, time.monotonic())
+
+    def quiet_s(self):
+        """Seconds since the last fault and its late effects; 0 while one lasts."""
+        with self._lock:
+            return 0.0 if self._active else max(0.0, time.monotonic() - self._last_end)
+
     def _take(self, generator):
         """A process that no other fault works on, or None."""
         with self._lock:
@@ -166,6 +186,8 @@
         time.sleep(for_s)
         for worker in self._deployment.workers:
             worker.late_orders = 0.0
+        with self._lock:  # the last late order is carried out then
+            self._last_end = max(self._last_end, time.monotonic() + LATE_S[1])
 
     def publish(self, _for_s, _generator):
         self._deployment.publish_config()
--- a/testsuite/soak/fleet_soak.py
+++ b/testsuite/soak/fleet_soak.py
@@ -14,15 +14,17 @@
 import shutil
 import sys
 import tempfile
+import threading
 import time
 
-from client import Client
+from client import Client, LoadClient
 from deployment import QUEUE, Deployment
 from faults import Faults
 from promises import Promises
 from jobs import MAX_ATTEMPTS
 
 START_S = 15.0  # until the system answers for the first time
+CALM_TRAFFIC_S = 11.0  # after the last fault, until the traffic ends
 CALM_S = 3.0  # after the last fault, before bounds in time hold again
 FINISH_S = 30.0  # until all jobs have ended: 14 s of the platform's bound, and the longest backlog
 LASTING_S = 6.0  # until lasting tasks are at work
@@ -34,6 +36,8 @@
     def __init__(self, options, seed):
         self._options = options
         self._random = random.Random(seed)
+        self._load_seed = f"{seed} load"  # of its own, so that the seeds keep their faults
+        self._watching = True
         self._jobs = {}
         self.promises = Promises(self._jobs)
         self.directory = tempfile.mkdtemp(prefix=f"soak-{seed}-")
@@ -65,17 +69,30 @@
             return
         self._clients = [self._client(number, self._options.rate)
                          for number in range(self._options.clients)]
+        self._clients.append(LoadClient(len(self._clients), self._deployment.gateway_addresses,
+                                        self._jobs, self.promises, QUEUE, 0,
+                                        self._load_seed))
         for client in self._clients:
             client.start()
         self.faults = Faults(self._deployment, self.promises, self._random, self._options.span_s,
                              self._options.faults)
+        watcher = threading.Thread(target=self._watch_lasting, daemon=True)
+        watcher.start()
         self.faults.play()
         self._deployment.heal()
+        time.sleep(CALM_TRAFFIC_S)
+        self._watching = False
+        watcher.join()
         for client in self._clients:
             client.stop()
         time.sleep(CALM_S)
         self._check_calm(probe)
 
+    def _watch_lasting(self):
+        while self._watching:
+            self.promises.check_lasting(self._deployment.workers, self.faults.quiet_s())
+            time.sleep(0.1)
+
     def _check_calm(self, probe):
         version = self._deployment.publish_config()
         time.sleep(CONFIG_S)
@@ -114,6 +131,7 @@
         accepted = sum(1 for job in self._jobs.values() if job.accepted)
         completed = sum(1 for job in self._jobs.values() if job.state == "completed")
         return f"{len(self._jobs)} jobs, {accepted} accepted, {completed} seen completed, " \
+               f"lasting tasks waited up to {self.promises.longest_wait_s:.1f} s, " \
                f"{len(self.promises.broken)} promises broken"
 
 
--- a/testsuite/soak/jobs.py
+++ b/testsuite/soak/jobs.py
@@ -12,6 +12,14 @@
            "image": "fill-1"}
 LASTING = {"cpu": 1500, "mem_mb": 1000, "estimate_ms": 300, "long_running": True, "target_ms": 60,
            "image": "serve-1", "max_per_server": 1}
+LASTING_STEPS = [dict(LASTING, count=2), dict(LASTING, count=2),
+                 dict(LASTING, count=2, cpu=3500, mem_mb=5000, image="serve-2"),
+                 dict(LASTING, count=3, cpu=2500, mem_mb=3000),
+                 dict(LASTING, count=4, cpu=500, image="serve-2", max_per_server=0)]
+FAILING_LASTING_RUNS = 2  # of half of the lasting tasks, the first ones
+LASTING_RUN_S = (3.0, 12.0)  # until such a run fails
+# Small enough to take each piece of capacity that becomes free.
+LOAD = dict(SHORT, cpu=1000, estimate_ms=1500, count=8)
 SHAPES = [
     (5, [dict(SHORT, count=3), dict(SHORT, count=2, depends_on=[0])]),
     (3, [dict(FILLING, count=4)]),
@@ -32,6 +40,7 @@
         self.to_cancel = not self.lasting and generator.random() < CANCELLED
         self.seed = generator.getrandbits(32)
         self.accepted = False
+        self.accepted_at = None
         self.cancelled = False
         self.refused_only = False
         self.started = False
@@ -45,10 +54,18 @@
     def plan(self, task, step):
         spec = self.document["steps"][step]
         if self.lasting:
-            return {"work_s": float("inf"), "fails": lambda run: False, "step": spec}
+            return {"run_s": lambda run: self.lasting_run_s(task, run), "fails": lambda run: True,
+                    "step": spec}
         spread = random.Random(f"{self.seed} {task} work").uniform(0.6, 1.4)
-        return {"work_s": spec["estimate_ms"] / 1000 * spread, "fails": self.fails(task),
-                "step": spec}
+        return {"run_s": lambda run: spec["estimate_ms"] / 1000 * spread,
+                "fails": self.fails(task), "step": spec}
+
+    def lasting_run_s(self, task, run):
+        """Seconds until that run of a lasting task fails."""
+        generator = random.Random(f"{self.seed} {task} {run}")
+        failing = random.Random(f"{self.seed} {task}").random() < 0.5
+        return generator.uniform(*LASTING_RUN_S) if failing and run <= FAILING_LASTING_RUNS \
+            else float("inf")
 
 
 def random_job(generator):
@@ -57,5 +74,11 @@
     return Job(generator, steps)
 
 
-def lasting_job(generator):
-    return Job(generator, [dict(LASTING, count=2)])
+def lasting_jobs(generator):
+    return [Job(generator, [dict(step)]) for step in LASTING_STEPS]
+
+
+def load_job(generator):
+    job = Job(generator, [dict(LOAD)])
+    job.to_cancel = False
+    return job
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -6,12 +6,17 @@
 
 from worker import CAPACITY
 
+RUNS_AGAIN_S = 9.0  # 6 s, and 3 s after a fault, within which a lasting task runs again
+QUIET_S = 7.0  # without faults, before the bound holds
+
 
 class Promises:
     def __init__(self, jobs):
         self._lock = threading.RLock()
         self._jobs = jobs
         self._runs = defaultdict(list)  # by task: records of all its runs
+        self._reported = set()  # lasting tasks that were found without a run
+        self.longest_wait_s = 0.0  # of a lasting task with room for it, in spans without faults
         self.broken = []
 
     def _break(self, rule, text):
@@ -85,6 +90,55 @@
             return sum(1 for task, runs in self._runs.items() if parse(task)[0] == job.name
                        and any(each["ended"] is None for each in runs))
 
+    def check_lasting(self, workers, quiet_s):
+        """While traffic runs: lasting tasks without a run that workers have capacity for."""
+        if quiet_s < QUIET_S:
+            return
+        with self._lock:
+            now = time.monotonic()
+            for job in list(self._jobs.values()):
+                if not job.lasting or not job.accepted:
+                    continue
+                step = job.document["steps"][0]
+                for index in range(step["count"]):
+                    task = f"{job.name}.0.0.{index}"
+                    runs = self._runs[task]
+                    if task in self._reported or any(each["ended"] is None for each in runs):
+                        continue
+                    since = max([job.accepted_at] + [each["ended"] for each in runs])
+                    having = [worker.name for worker in workers
+                              if self._has_room_twice(worker, job.name, step)]
+                    if having:
+                        self.longest_wait_s = max(self.longest_wait_s, now - since)
+                    if having and now - since > RUNS_AGAIN_S:
+                        self._reported.add(task)
+                        self._break("LOST", f"{task} is to last and has not run for "
+                                            f"{now - since:.1f} s, with room for it on {having}")
+
+    def _has_room_twice(self, worker, name, step):
+        """Whether the worker has capacity for two such tasks beside its lasting tasks."""
+        if not worker.service or worker.hangs or worker.draining:
+            return False
+        lasting = []
+        for task in list(worker.running):
+            job, _, number, _ = parse(task)
+            spec = self._jobs[job].document["steps"][number]
+            if spec.get("long_running"):
+                lasting.append((job, spec))
+        limit = step.get("max_per_server")
+        if limit and sum(1 for job, _ in lasting if job == name) >= limit:
+            return False
+        return all(CAPACITY[kind] - sum(spec[kind] for _, spec in lasting) >= 2 * step[kind]
+                   for kind in ("cpu", "mem_mb"))
+
+    def unfinished(self, job):
+        """Whether tasks of the job have no run that was done."""
+        with self._lock:
+            return any(not any(each["how"] == "done"
+                               for each in self._runs[f"{job.name}.0.{step}.{index}"])
+                       for step, spec in enumerate(job.document["steps"])
+                       for index in range(spec["count"]))
+
     def check_end(self, max_attempts):
         """After the last disruption is over and all jobs have ended."""
         with self._lock:
--- a/testsuite/soak/worker.py
+++ b/testsuite/soak/worker.py
@@ -13,6 +13,8 @@
 LONGEST_LEASE_S = 6.0
 LATE_S = (2.0, 4.0)  # after which an order without an answer is carried out
 CAPACITY = {"cpu": 8000, "mem_mb": 16000, "gpu": 0}
+LATENCY_MS = 8  # of a serving task
+FILLING_LATENCY_MS = 10  # more for each filling run at full pace, so that these get paced
 
 
 class Run:
@@ -142,8 +144,8 @@
             self._lease(request)
             if held or number <= self.highest_run.get(task, 0):
                 return self._refused("old")
-            run = Run(task, number, request.get("checkpoint", ""), self._plan(task)["work_s"],
-                      time.monotonic())
+            run = Run(task, number, request.get("checkpoint", ""),
+                      self._plan(task)["run_s"](number), time.monotonic())
             self.running[task] = run
             self._promises.run_started(self, run, request)
             self._lock.notify_all()
@@ -187,15 +189,16 @@
                          "ended": self.ends[:500]}
 
     def _percent(self, run):
-        if run.work_s is None or run.work_s == float("inf"):
+        if run.work_s == float("inf"):
             return 100
         return int(100 * (run.work_s - run.left_s) / run.work_s)
 
     def _figure(self, run):
         spec = self._plan(run.task)["step"]
-        filling = sum(1 for each in self.running.values()
+        filling = sum(each.percent / 100 for each in self.running.values()
                       if self._plan(each.task)["step"].get("fills"))
-        return 8 + 4 * filling if spec.get("target_ms") else spec["cpu"]
+        return int(LATENCY_MS + FILLING_LATENCY_MS * filling) if spec.get("target_ms") \
+            else spec["cpu"]
 
     def _end(self, run, how):
         del self.running[run.task]
@@ -211,7 +214,7 @@
             plan = self._plan(run.task)
             run.left_s -= (now - run.advanced) * self.speed * run.percent / 100
             run.advanced = now
-            done_s = plan["work_s"] - run.left_s
+            done_s = run.work_s - run.left_s
             if plan["step"].get("checkpointing") and done_s >= run.saved_s + 1:
                 run.saved_s = done_s
                 run.checkpoint = str(int(done_s * 1000))
