Let evidence of a slow worker fade while no run can be measured

Callers saw workers with free capacity that got no new tasks for tens of seconds.

Cause: a report in which all batch runs are paced below half, or are new, left the measured speed as it was. If the worker had stalled before, each such report renewed its exclusion.

Such reports now count as well, without evidence.

Test earlierEvidenceFadesWhileNoRunCanBeMeasured failed before. Found by review.

--- a/src/libsched/progress_monitor.cpp
+++ b/src/libsched/progress_monitor.cpp
@@ -51,11 +51,11 @@
         m_jobs.clear();
         return;
     }
-    if (expectedMs == 0)
-        return;
+    // Reports without a run that can be measured count as well: earlier evidence fades.
     m_doneMs = historyWeight * m_doneMs + doneMs;
     m_expectedMs = historyWeight * m_expectedMs + expectedMs;
-    m_jobs = std::move(jobs);
+    if (expectedMs > 0)
+        m_jobs = std::move(jobs);
 }
 
 double progress_monitor::lastPace(const std::string &task) const
--- a/src/libsched/progress_monitor_test.cpp
+++ b/src/libsched/progress_monitor_test.cpp
@@ -36,6 +36,16 @@
     BOOST_TEST(subject.isSlow());
 }
 
+// Guards against a worker that stays excluded while its runs are paced down and cannot be measured.
+BOOST_AUTO_TEST_CASE(earlierEvidenceFadesWhileNoRunCanBeMeasured)
+{
+    progress_monitor subject;
+    report(subject, 7, 0);
+    BOOST_TEST(subject.isSlow());
+    report(subject, 5, 0, 0);
+    BOOST_TEST(!subject.isSlow());
+}
+
 BOOST_AUTO_TEST_CASE(aWorkerThatIsSixTimesSlowerIsSlow)
 {
     progress_monitor subject;
