Keep the wait of a task whose start is refused, and try another worker

Callers would have seen a service that stays incomplete although workers have capacity: the worker that refuses its starts was chosen each time, and each attempt began the wait anew, so the task was hardly ever overdue.

A wait now ends when a run is known to have existed, and the worker that refused the last start is tried last.

Found by review.

--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -22,10 +22,21 @@
     worker_key place; ///< worker of the last start
     std::string checkpoint;
     bool reported = false; ///< the worker has reported the run
+    bool refused = false; ///< the last start was refused by the worker
     instant retryAt{}; ///< not started again before
-    std::optional<instant> waitingSince; ///< of a long-running step: first pass that found it so
+    /// Of a long-running step: time of the first pass that found the task waiting after its last
+    /// run. A start that is refused does not change it.
+    std::optional<instant> waitingSince;
     instant nextWaitingLog{}; ///< no line about its wait before
     instant orderedAt{}; ///< of the last start; the takeover, if an earlier owner ordered it
+
+    /// To be called when a run of the task is known to have existed.
+    void endWait()
+    {
+        waitingSince.reset();
+        nextWaitingLog = {};
+        refused = false;
+    }
 };
 
 /// One step of one occurrence.
--- a/src/libsched/fake_fleet_worker.h
+++ b/src/libsched/fake_fleet_worker.h
@@ -28,6 +28,7 @@
     sched::worker_info info;
     bool up = true;
     bool failsAll = false;
+    bool refusesStarts = false; ///< as an unhealthy worker does
     bool checksTickets = false; ///< starts only tasks that carry ticketOf()
     bool makesNoProgress = false; ///< answers calls, but its runs make no progress
     std::uint32_t usage = 0; ///< reported for all tasks
@@ -132,7 +133,10 @@
         if (alreadyRunning)
             return;
         const std::string step = call.task.substr(0, call.task.rfind('.'));
-        if (checksTickets && call.ticket != ticketOf(step)) {
+        if (refusesStarts) {
+            reply.kind = sched::worker_reply_kind::refused;
+            reply.reason = "unhealthy";
+        } else if (checksTickets && call.ticket != ticketOf(step)) {
             reply.kind = sched::worker_reply_kind::refused;
             reply.reason = "ticket";
         } else if (running.count(call.task) > 0 || call.run <= highestStopped[call.task]) {
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -10,7 +10,7 @@
 
 // Costs are in shares of a VM's processors; a larger one outweighs all smaller ones.
 constexpr double farRackPenalty = 1.0;
-/// A failed run is retried on another worker first, in case the worker was at fault.
+/// A failed or refused run is retried on another worker first, in case the worker was at fault.
 constexpr double failedHerePenalty = 4.0;
 /// A serving task on a VM without others would make the VM unsuitable for filling tasks.
 constexpr double newServingVmPenalty = 2.0;
@@ -128,7 +128,7 @@
         double candidateCost = cost(*candidate, step);
         if (!step.preferredRack.empty() && candidate->rack != step.preferredRack)
             candidateCost += farRackPenalty;
-        if (previous.failures > 0 && candidate->key == previous.place)
+        if ((previous.failures > 0 || previous.refused) && candidate->key == previous.place)
             candidateCost += failedHerePenalty;
         if (!best || candidateCost < bestCost) {
             best = candidate;
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -208,6 +208,7 @@
     if (!current)
         return;
     location.parentJob->begun = true;
+    location.taskState->endWait();
     recordCheckpoint(location, end.checkpoint);
     const auto step =
             static_cast<std::uint32_t>(location.step - location.parentOccurrence->steps.data());
@@ -238,6 +239,7 @@
         budgetOf(spec));
     requeue(location);
     location.taskState->retryAt = now + refusalPause;
+    location.taskState->refused = true;
     stopGang(location);
     if (refusal.reason == "room") {
         if (worker.excludedUntil <= now) {
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -158,6 +158,7 @@
         recordCheckpoint(location, each->checkpoint);
         if (!location.taskState->reported) {
             location.taskState->reported = true;
+            location.taskState->endWait();
             location.parentJob->begun = true;
         }
         const auto run = worker.runs.find(each->task);
