Bound what overdue long-running tasks take from other work

A waiting task held room on up to three workers from all other tasks, so that on a small fleet smaller tasks of other services found no place although they would fit. Room is now held from all tasks on one worker for each task and on half of the workers at most, further workers are held from batch work only. Room is held only where the task may really run: with a ticket, and where the placement policy admits it. Tasks are counted per worker only if the step has a limit.

Starved batch jobs were sent to an excluded worker that fails everything, if it was the only one with room, and used up their attempts there. Only overdue long-running tasks, which have no limit of attempts, use excluded workers now.

Tests aWaitingTaskDoesNotKeepSmallerOnesOfOtherServicesWaiting and aBatchJobKeepsItsAttemptsWhileTheOnlyFreeWorkerFailsEverything failed before.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -9,6 +9,7 @@
 #include "plantainpitch/sched/messages.h"
 #include "plantainpitch/sched/placement_obstacles.h"
 #include "plantainpitch/sched/placement_policy.h"
+#include "plantainpitch/sched/placement_terms.h"
 #include "plantainpitch/sched/run_outcome.h"
 #include "plantainpitch/sched/stored_record.h"
 #include "plantainpitch/sched/task_name.h"
@@ -162,8 +163,8 @@
                                      const step_spec &step);
     [[nodiscard]] std::vector<worker *> eligibleWorkers(const job &job, const queue_config &queue,
                                                         const occurrence &occurrence,
-                                                        std::uint32_t step, bool starved,
-                                                        instant now);
+                                                        std::uint32_t step,
+                                                        const placement_terms &terms, instant now);
     void requestTickets(const job &job, const queue_config &queue, const occurrence &occurrence,
                         std::uint32_t step, bool starved, instant now);
     void placeGang(job &job, const queue_config &queue, occurrence &occurrence, std::uint32_t step,
@@ -173,7 +174,7 @@
                                                  bool starved) const;
     [[nodiscard]] bool fitsOneRack(const std::string &service, const step_spec &spec) const;
 
-    // scheduler_long_running.cpp: tasks of long-running steps that have lost their place
+    // scheduler_long_running.cpp: tasks of long-running steps that have waited too long
     struct overdue_task
     {
         instant since{};
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -68,7 +68,9 @@
     resources capacity;
     resources used;
     resources usedByLongRunning; ///< part of used
-    resources held; ///< kept free for waiting long-running tasks; set in each scheduling pass
+    // Kept free for overdue long-running tasks; set in each scheduling pass.
+    resources held; ///< from all other tasks
+    resources heldFromBatch; ///< from tasks that are not overdue themselves
     std::int64_t fillingCpu = 0; ///< demand of runs that use left-over processors
     std::uint32_t servingRuns = 0; ///< runs that have a latency target
     std::int64_t servingCpu = 0; ///< what they reserve
@@ -96,10 +98,12 @@
     instant excludedSince{}; ///< valid if loggedExclusion is set
 
     [[nodiscard]] resources freeResources() const { return capacity - used; }
-    /// Whether the resources fit beside the runs and the held resources.
-    [[nodiscard]] bool hasRoomFor(const resources &needed) const
+    /// Whether the resources fit beside the runs and what is held from the task. \a overdue: it is
+    /// an overdue long-running task.
+    [[nodiscard]] bool hasRoomFor(const resources &needed, bool overdue = false) const
     {
-        return needed.fits(freeResources()) && needed.fitsWhereNeeded(freeResources() - held);
+        const resources kept = overdue ? held : held + heldFromBatch;
+        return needed.fits(freeResources()) && needed.fitsWhereNeeded(freeResources() - kept);
     }
     /// Processors that neither reservations nor filling runs are expected to use, thousandths of a
     /// core. Serving tasks reserve for their peak.
--- a/src/libsched/scheduler_lasting_test.cpp
+++ b/src/libsched/scheduler_lasting_test.cpp
@@ -243,4 +243,62 @@
     requireNoViolations(fleet.model);
 }
 
+// Guards against a service that waits although workers have capacity, because the one that refuses
+// its starts is chosen each time.
+BOOST_AUTO_TEST_CASE(aTaskOfAServiceRunsOnAnotherWorkerAfterARefusal)
+{
+    busy_fleet fleet(3);
+    fleet.startService("service", 1, 1'000);
+    auto *place = fleet.find("service.0.0.0");
+    BOOST_REQUIRE(place);
+    fleet.startService("neighbour", 1, 1'000); // makes the place the preferred one
+    place->worker.refusesStarts = true;
+    place->worker.end("service.0.0.0", sched::run_outcome::lapsed);
+    for (int i = 0; i < restartMs && !fleet.find("service.0.0.0"); i += 100)
+        fleet.model.run(100);
+    BOOST_TEST((fleet.find("service.0.0.0") != nullptr));
+}
+
+// Guards against room that is held for one task on every worker: smaller tasks of services that
+// would fit could not run.
+BOOST_AUTO_TEST_CASE(aWaitingTaskDoesNotKeepSmallerOnesOfOtherServicesWaiting)
+{
+    busy_fleet fleet(3);
+    fleet.model.longRunningMs = 3'600'000;
+    for (const char *id : { "one", "two", "three" }) {
+        auto call = fleet.model.submission(id, 1, 2'500); // a long batch run on each VM
+        call.submitted->spec->steps[0]->estimateMs = 60'000;
+        fleet.model.send(call);
+    }
+    fleet.model.run(300);
+    for (auto &each : fleet.model.nodes) {
+        for (auto &[task, state] : each.worker.running)
+            state.leftMs = 60'000;
+    }
+    fleet.startService("large", 1, 3'000);
+    fleet.model.run(6'000); // room is held for it on all VMs that may get it
+    fleet.startService("small", 1, 500);
+    for (int i = 0; i < restartMs && !fleet.find("small.0.0.0"); i += 100)
+        fleet.model.run(100);
+    BOOST_TEST((fleet.find("small.0.0.0") != nullptr));
+}
+
+// Guards against a batch job that uses up its attempts on an excluded worker, the only one with
+// room, although it could wait.
+BOOST_AUTO_TEST_CASE(aBatchJobKeepsItsAttemptsWhileTheOnlyFreeWorkerFailsEverything)
+{
+    busy_fleet fleet(2);
+    fleet.startService("service", 2, 3'500, 1);
+    auto &failing = fleet.model.nodes[0];
+    failing.worker.failsAll = true;
+    for (int i = 0; i < 4; ++i) // until the failing worker is excluded
+        fleet.model.send(fleet.model.submission("first-" + std::to_string(i), 1, 500));
+    fleet.model.run(3'000);
+    fleet.startService("other", 1, 500, 1);
+    fleet.model.send(fleet.model.submission("job", 1, 500));
+    fleet.model.run(6'000);
+    failing.worker.failsAll = false;
+    BOOST_TEST(fleet.model.runUntil("job", sched::job_state::completed, 40'000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_long_running.cpp
+++ b/src/libsched/scheduler_long_running.cpp
@@ -50,7 +50,7 @@
                 continue;
             if (!task.waitingSince)
                 task.waitingSince = now;
-            if (now - *task.waitingSince >= overdueAfter && task.retryAt <= now)
+            if (now - *task.waitingSince >= overdueAfter)
                 result.push_back({ *task.waitingSince, &job, &queue, &occurrence, step, index });
         }
     };
@@ -80,7 +80,7 @@
 void scheduler::placeOverdueLongRunning(instant now)
 {
     for (auto &[key, worker] : m_workers)
-        worker->held = {};
+        worker->held = worker->heldFromBatch = {};
     std::uint32_t waitingLines = 0;
     for (const overdue_task &each : findOverdueLongRunning(now)) {
         const step_spec &spec = each.parentJob->stepSpec(each.step);
@@ -89,9 +89,11 @@
         if (each.queue->needsTickets)
             requestTickets(*each.parentJob, *each.queue, *each.parentOccurrence, each.step,
                            takesExcluded, now);
-        const auto eligible = eligibleWorkers(*each.parentJob, *each.queue, *each.parentOccurrence,
-                                              each.step, takesExcluded, now);
-        if (worker *choice = m_placement.choose(eligible, spec, task)) {
+        const auto eligible = eligibleWorkers(
+                *each.parentJob, *each.queue, *each.parentOccurrence, each.step,
+                { .starved = true, .overdue = true, .mayUseExcluded = takesExcluded }, now);
+        worker *choice = m_placement.choose(eligible, spec, task);
+        if (choice && task.retryAt <= now) {
             start(*each.parentJob, *each.parentOccurrence, each.step, each.index, *choice,
                   task.run + 1, now);
         } else {
@@ -101,31 +103,48 @@
     }
 }
 
-/// Keeps room for the task free on the workers that are nearest to having it. The shortage on a
-/// worker with held room only falls, so the choice settles.
+/// Keeps room for the task free on the workers that are nearest to having it. The first one is held
+/// from all tasks, but only on half of the workers, so that overdue tasks that would fit cannot
+/// block each other everywhere; the others are held from batch work.
 void scheduler::holdRoom(const overdue_task &waiting, instant now)
 {
     const step_spec &spec = waiting.parentJob->stepSpec(waiting.step);
     const resources needed = reservation(spec);
     const auto &tasks = waiting.parentOccurrence->steps[waiting.step].tasks;
+    const std::string stepName = task_name{ waiting.parentJob->request.id,
+                                            waiting.parentOccurrence->number, waiting.step, 0 }
+                                         .stepText();
+    std::size_t suitable = 0;
+    std::size_t heldWorkers = 0;
     std::vector<std::pair<double, worker *>> candidates;
     for (const auto &[key, entry] : m_workers) {
         worker *const candidate = entry.get(); // lambdas cannot capture the names of a binding
-        const auto here = std::count_if(tasks.begin(), tasks.end(), [candidate](const task &each) {
+        if (!mayRun(*candidate, *waiting.queue, spec))
+            continue;
+        ++suitable;
+        heldWorkers += candidate->held == resources{} ? 0 : 1;
+        if (candidate->excludedUntil > now
+            || !needed.fits(candidate->capacity - candidate->usedByLongRunning - candidate->held)
+            || !m_placement.admits(*candidate, spec, true)
+            || (waiting.queue->needsTickets && !m_advice.ticketFor(stepName, key.id, now)))
+            continue;
+        const auto isHere = [candidate](const task &each) {
             return each.phase == task_phase::active && each.place == candidate->key;
-        });
-        const bool willHaveRoom =
-                needed.fits(candidate->capacity - candidate->usedByLongRunning - candidate->held);
-        if (mayRun(*candidate, *waiting.queue, spec) && candidate->excludedUntil <= now
-            && willHaveRoom && (spec.maxPerVm == 0 || here < spec.maxPerVm))
-            candidates.emplace_back(shortage(needed, *candidate), candidate);
+        };
+        if (spec.maxPerVm > 0 && std::count_if(tasks.begin(), tasks.end(), isHere) >= spec.maxPerVm)
+            continue;
+        candidates.emplace_back(shortage(needed, *candidate), candidate);
     }
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
     const auto wanted = std::min<std::int64_t>(
             maxHeldWorkers, 1 + (now - waiting.since - overdueAfter) / holdInterval);
-    for (std::size_t i = 0; i < candidates.size() && static_cast<std::int64_t>(i) < wanted; ++i)
-        candidates[i].second->held = candidates[i].second->held + needed;
+    for (std::size_t i = 0; i < candidates.size() && static_cast<std::int64_t>(i) < wanted; ++i) {
+        worker &chosen = *candidates[i].second;
+        const bool fromAll = i == 0 && 2 * heldWorkers < std::max<std::size_t>(suitable, 1);
+        resources &room = fromAll ? chosen.held : chosen.heldFromBatch;
+        room = room + needed;
+    }
 }
 
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -71,7 +71,7 @@
 
 std::vector<worker *> scheduler::eligibleWorkers(const job &job, const queue_config &queue,
                                                  const occurrence &occurrence, std::uint32_t step,
-                                                 bool starved, instant now)
+                                                 const placement_terms &terms, instant now)
 {
     const step_spec &spec = job.stepSpec(step);
     const resources needed = reservation(spec);
@@ -80,8 +80,8 @@
     std::vector<worker *> excluded;
     for (auto &[key, entry] : m_workers) {
         worker *const candidate = entry.get(); // lambdas cannot capture the names of a binding
-        if (!mayRun(*candidate, queue, spec) || !candidate->hasRoomFor(needed)
-            || !m_placement.admits(*candidate, spec, starved))
+        if (!mayRun(*candidate, queue, spec) || !candidate->hasRoomFor(needed, terms.overdue)
+            || !m_placement.admits(*candidate, spec, terms.starved))
             continue;
         if (queue.needsTickets && !m_advice.ticketFor(name, key.id, now))
             continue;
@@ -95,9 +95,7 @@
         }
         (candidate->excludedUntil <= now ? result : excluded).push_back(candidate);
     }
-    // An exclusion is a preference: for work that has waited long, a suspect worker is better than
-    // none.
-    return starved && result.empty() ? excluded : result;
+    return terms.mayUseExcluded && result.empty() ? excluded : result;
 }
 
 void scheduler::start(job &job, occurrence &occurrence, std::uint32_t step, std::uint32_t index,
@@ -110,8 +108,6 @@
     --stepRun.waiting;
     ++stepRun.active;
     task.phase = task_phase::active;
-    task.waitingSince.reset();
-    task.nextWaitingLog = {};
     task.run = run;
     task.place = worker.key;
     task.reported = false;
@@ -157,7 +153,8 @@
         return;
     }
     auto &tasks = occurrence.steps[step].tasks;
-    std::vector<worker *> eligible = eligibleWorkers(job, queue, occurrence, step, starved, now);
+    std::vector<worker *> eligible =
+            eligibleWorkers(job, queue, occurrence, step, { .starved = starved }, now);
     const resources needed = reservation(job.stepSpec(step));
     for (std::uint32_t index = 0; index < tasks.size() && !eligible.empty(); ++index) {
         task &task = tasks[index];
@@ -170,7 +167,7 @@
         if (starved)
             return;
         if (job.stepSpec(step).maxPerVm > 0)
-            eligible = eligibleWorkers(job, queue, occurrence, step, starved, now);
+            eligible = eligibleWorkers(job, queue, occurrence, step, { .starved = starved }, now);
         else if (!choice->hasRoomFor(needed)
                  || !m_placement.admits(*choice, job.stepSpec(step), starved))
             eligible.erase(std::remove(eligible.begin(), eligible.end(), choice), eligible.end());
@@ -190,7 +187,7 @@
     if (!std::all_of(members.tasks.begin(), members.tasks.end(), mayStart))
         return; // members of the last run have not all ended
     const std::vector<worker *> eligible =
-            eligibleWorkers(job, queue, occurrence, step, starved, now);
+            eligibleWorkers(job, queue, occurrence, step, { .starved = starved }, now);
     std::vector<worker *> chosen;
     const bool useOneRack = spec.sameRack && now - job.lastActive < starvationThreshold
                             && fitsOneRack(queue.service, spec);
@@ -324,7 +321,7 @@
                 continue;
             const bool startable = job.dependenciesDone(occurrence, step);
             if (queue.needsTickets && (startable || dependenciesStarted(job, occurrence, step)))
-                requestTickets(job, queue, occurrence, step, starved, now);
+                requestTickets(job, queue, occurrence, step, false, now);
             if (startable)
                 placeStep(job, queue, occurrence, step, starved, now);
         }
--- a/src/libsched/scheduler_sharing.cpp
+++ b/src/libsched/scheduler_sharing.cpp
@@ -121,8 +121,8 @@
     const queue_config *queue = queueOf(*location.parentJob);
     if (!queue)
         return false;
-    const auto eligible = eligibleWorkers(*location.parentJob, *queue, *location.parentOccurrence,
-                                          step, false, now);
+    const auto eligible =
+            eligibleWorkers(*location.parentJob, *queue, *location.parentOccurrence, step, {}, now);
     return std::any_of(eligible.begin(), eligible.end(),
                        [&current](const worker *other) { return other != &current; });
 }
