Reject stored jobs and submissions that would end the owner

Cause: a record was only checked for being a FlatBuffers table. A count of tasks of four billion, an occurrence of that number or a schedule without interval filled the memory. A dependency on a missing step read outside a vector, and a repeated row of progress or an unknown phase made the counts of a step wrong. bad_alloc is no `error`, so it reached the loop, which ends the process.

checkJob() now bounds a job. It applies to records of the store, to submissions of gateways and to bodies of clients. Bad records are skipped with a log line; bad rows of progress are skipped and counted in progress_unreadable. The tasks of all due occurrences of a job are limited to 500,000.

Tests badSubmissionsInTheStoreAreRejectedAndTheOthersRun, badSubmissionsOfCallsAreRejectedAndTheOthersRun, badRowsOfAProgressRecordAreSkippedAndTheJobRuns, anUnknownOutcomeInTheStoreLeavesTheJobOpen and dueOccurrencesAreLimited failed before (with the memory limited to 3 GB).

--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -48,6 +48,7 @@
 {
     submission request;
     std::vector<occurrence> occurrences; ///< those that are due
+    bool occurrencesLimited = false; ///< more are due than maxTasksPerJob allows
     job_outcome outcome = job_outcome::open;
     std::int64_t endedMs = 0; ///< wall clock
     bool started = false; ///< some task was ordered to start
--- a/src/include/plantainpitch/sched/messages.h
+++ b/src/include/plantainpitch/sched/messages.h
@@ -47,7 +47,7 @@
 message decodeMessage(std::string_view bytes);
 
 std::string encodeSubmission(const submission &record);
-/// Throws error(protocol_error).
+/// Throws error(protocol_error), or error(invalid_document) if it is no job that can run.
 submission decodeSubmission(std::string_view bytes);
 
 std::string encodeProgress(const progress &record);
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -60,7 +60,8 @@
     scheduler(const scheduler_options &options, const placement_policy &placement,
               const waiting_order &order, disturbance_model &disturbances);
 
-    /// Loads a record that an earlier owner stored. Throws error(protocol_error).
+    /// Loads a record that an earlier owner stored. Throws error(protocol_error) or
+    /// error(invalid_document) if the record cannot be read.
     void load(const stored_record &record);
     /// To be called when all records are loaded; no task is placed before. \a wallMs is the wall
     /// clock.
@@ -118,7 +119,8 @@
     job &addJob(submission request, instant now, std::int64_t wallMs);
     void applyProgress(job &job, const progress &record);
     void addDueOccurrences(job &job, std::int64_t wallMs);
-    void appendOccurrence(job &job, std::uint32_t number);
+    bool appendOccurrence(job &job, std::uint32_t number);
+    bool applyTaskProgress(job &job, const task_progress &stored);
     void endJob(job &job, job_outcome outcome);
     void stepDone(job &job, occurrence &affected);
     void markChanged(job &job);
--- a/src/libsched/messages.cpp
+++ b/src/libsched/messages.cpp
@@ -1,6 +1,7 @@
 #include "plantainpitch/sched/messages.h"
 
 #include "plantainpitch/model/error.h"
+#include "plantainpitch/sched/job_limits.h"
 
 namespace plantainpitch::sched {
 
@@ -57,6 +58,11 @@
         throw error(error_kind::protocol_error, "the submission has no job specification",
                     "check which process wrote the record");
     }
+    checkJob(*result.spec);
+    if (result.receivedMs < 0) {
+        throw error(error_kind::protocol_error, "the submission was received before 1970",
+                    "check which process wrote the record");
+    }
     return result;
 }
 
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -1,5 +1,7 @@
 #include "plantainpitch/sched/scheduler.h"
 
+#include "plantainpitch/model/error.h"
+
 #include <algorithm>
 
 namespace plantainpitch::sched {
@@ -30,6 +32,10 @@
     if (record.key.front() == submissionPrefix) {
         auto loaded = std::make_unique<job>();
         loaded->request = decodeSubmission(record.value);
+        if (loaded->request.id != id) {
+            throw error(error_kind::protocol_error, "the record's key names another job",
+                        "check which process wrote the record");
+        }
         loaded->stored = true;
         m_jobs[id] = std::move(loaded);
     } else if (record.key.front() == progressPrefix) {
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -1,5 +1,8 @@
 #include "plantainpitch/sched/scheduler.h"
 
+#include "plantainpitch/model/error.h"
+#include "plantainpitch/sched/job_limits.h"
+
 #include <algorithm>
 
 namespace plantainpitch::sched {
@@ -31,6 +34,21 @@
     return text;
 }
 
+/// Returns why the job of a submission cannot be accepted; empty if it can.
+std::string problemOf(const client_call &call)
+{
+    if (!call.submitted || !call.submitted->spec)
+        return "the submission has no job specification";
+    if (call.submitted->id != call.job)
+        return "the submission is that of another job";
+    try {
+        checkJob(*call.submitted->spec);
+    } catch (const error &failure) {
+        return failure.what();
+    }
+    return {};
+}
+
 } // namespace
 
 const queue_config *scheduler::queueOf(const job &job) const
@@ -74,8 +92,20 @@
     return job;
 }
 
-void scheduler::appendOccurrence(job &job, std::uint32_t number)
+/// Returns false if the job would get more tasks than maxTasksPerJob.
+bool scheduler::appendOccurrence(job &job, std::uint32_t number)
 {
+    std::uint64_t size = 0; // of one occurrence
+    for (const auto &step : job.request.spec->steps)
+        size += 1 + step->count;
+    if ((job.occurrences.size() + 1) * size > maxTasksPerJob) {
+        if (!std::exchange(job.occurrencesLimited, true)) {
+            log(log_level::error, "occurrences_limited",
+                { { "job", job.request.id },
+                  { "occurrences", std::to_string(job.occurrences.size()) } });
+        }
+        return false;
+    }
     occurrence added;
     added.number = number;
     added.steps.resize(job.request.spec->steps.size());
@@ -86,6 +116,7 @@
     }
     job.occurrences.push_back(std::move(added));
     m_passNeeded = true;
+    return true;
 }
 
 void scheduler::addDueOccurrences(job &job, std::int64_t wallMs)
@@ -95,46 +126,66 @@
         const auto number = static_cast<std::uint32_t>(job.occurrences.size());
         if (spec.occurrences > 0 && wallMs < spec.firstRunMs + number * spec.intervalMs)
             return;
-        appendOccurrence(job, number);
+        if (!appendOccurrence(job, number))
+            return;
     }
 }
 
+/// Returns false if the job has no such task, or if its progress was applied before.
+bool scheduler::applyTaskProgress(job &job, const task_progress &stored)
+{
+    if (stored.run == 0 || stored.phase > static_cast<std::uint8_t>(task_phase::dropped)
+        || stored.step >= job.request.spec->steps.size()
+        || stored.index >= job.stepSpec(stored.step).count
+        || stored.occurrence >= job.occurrenceCount())
+        return false;
+    while (job.occurrences.size() <= stored.occurrence) {
+        if (!appendOccurrence(job, static_cast<std::uint32_t>(job.occurrences.size())))
+            return false;
+    }
+    step_run &step = job.occurrences[stored.occurrence].steps[stored.step];
+    task &task = step.tasks[stored.index];
+    if (task.run != 0)
+        return false;
+    task.phase = static_cast<task_phase>(stored.phase);
+    task.run = stored.run;
+    task.failures = stored.failures;
+    task.place = { stored.worker, stored.workerStartMs };
+    task.checkpoint = stored.checkpoint;
+    job.started = true;
+    if (task.phase != task_phase::waiting)
+        --step.waiting;
+    if (task.phase == task_phase::done)
+        ++step.done;
+    job.begun = job.begun || task.phase == task_phase::done;
+    if (task.phase != task_phase::active)
+        return true;
+    ++step.active;
+    auto &entry = m_workers[task.place];
+    if (!entry) {
+        entry = std::make_unique<worker>();
+        entry->key = task.place;
+        entry->agent = stored.node;
+    }
+    const task_name name{ job.request.id, stored.occurrence, stored.step, stored.index };
+    entry->reserve(name.text(), allocationFor(job.stepSpec(stored.step), task.run));
+    return true;
+}
+
 void scheduler::applyProgress(job &job, const progress &record)
 {
-    job.outcome = static_cast<job_outcome>(record.outcome);
+    const bool knownOutcome = record.outcome <= static_cast<std::uint8_t>(job_outcome::cancelled);
+    if (knownOutcome)
+        job.outcome = static_cast<job_outcome>(record.outcome);
     job.endedMs = record.endedMs;
-    for (const auto &stored : record.tasks) {
-        while (job.occurrences.size() <= stored->occurrence)
-            appendOccurrence(job, static_cast<std::uint32_t>(job.occurrences.size()));
-        occurrence &occurrence = job.occurrences[stored->occurrence];
-        if (stored->step >= occurrence.steps.size()
-            || stored->index >= occurrence.steps[stored->step].tasks.size())
-            continue;
-        step_run &step = occurrence.steps[stored->step];
-        task &task = step.tasks[stored->index];
-        task.phase = static_cast<task_phase>(stored->phase);
-        task.run = stored->run;
-        task.failures = stored->failures;
-        task.place = { stored->worker, stored->workerStartMs };
-        task.checkpoint = stored->checkpoint;
-        job.started = job.started || task.run > 0;
-        if (task.phase != task_phase::waiting)
-            --step.waiting;
-        if (task.phase == task_phase::done)
-            ++step.done;
-        job.begun = job.begun || task.phase == task_phase::done;
-        if (task.phase != task_phase::active)
-            continue;
-        ++step.active;
-        auto &entry = m_workers[task.place];
-        if (!entry) {
-            entry = std::make_unique<worker>();
-            entry->key = task.place;
-            entry->agent = stored->node;
-        }
-        const step_spec &spec = job.stepSpec(stored->step);
-        const task_name name{ job.request.id, stored->occurrence, stored->step, stored->index };
-        entry->reserve(name.text(), allocationFor(spec, task.run));
+    std::size_t skipped = 0;
+    for (const auto &stored : record.tasks)
+        skipped += applyTaskProgress(job, *stored) ? 0 : 1;
+    if (skipped > 0 || !knownOutcome) {
+        log(log_level::error, "progress_unreadable",
+            { { "job", job.request.id },
+              { "skipped_tasks", std::to_string(skipped) },
+              { "known_outcome", knownOutcome ? "yes" : "no" } });
     }
     for (occurrence &occurrence : job.occurrences) {
         occurrence.doneSteps = static_cast<std::uint32_t>(
@@ -303,7 +354,8 @@
 void scheduler::submit(const std::string &node, const client_call &call, instant now,
                        std::int64_t wallMs)
 {
-    if (!call.submitted || !call.submitted->spec) {
+    if (const std::string problem = problemOf(call); !problem.empty()) {
+        log(log_level::warning, "job_unreadable", { { "job", call.job }, { "problem", problem } });
         answer(node, call.number, call_outcome::rejected, nullptr, false);
         return;
     }
--- /dev/null
+++ b/src/libsched/scheduler_records_test.cpp
@@ -0,0 +1,182 @@
+#include "fleet_model.h"
+#include "plantainpitch/model/error.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <limits>
+
+using namespace plantainpitch;
+using sched::job_state;
+using test::fleet_model;
+using test::requireNoViolations;
+
+namespace {
+
+using change = std::function<void(sched::submission &)>;
+
+sched::submission submissionOf(const std::string &id, std::uint32_t tasks)
+{
+    fleet_model model(0);
+    return std::move(*model.submission(id, tasks).submitted);
+}
+
+/// Submissions that no correct process writes.
+std::vector<std::pair<std::string, change>> badSubmissions()
+{
+    constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+    constexpr auto latest = std::numeric_limits<std::int64_t>::max();
+    return {
+        { "no specification", [](auto &bad) { bad.spec = nullptr; } },
+        { "no steps", [](auto &bad) { bad.spec->steps.clear(); } },
+        { "no tasks", [](auto &bad) { bad.spec->steps[0]->count = 0; } },
+        { "too many tasks", [](auto &bad) { bad.spec->steps[0]->count = largest; } },
+        { "depends on itself", [](auto &bad) { bad.spec->steps[0]->dependsOn = { 0 }; } },
+        { "unknown step", [](auto &bad) { bad.spec->steps[0]->dependsOn = { largest }; } },
+        { "negative interval", [](auto &bad) { bad.spec->intervalMs = -1; } },
+        { "negative first run", [](auto &bad) { bad.spec->firstRunMs = -1; } },
+        { "late occurrences",
+          [](auto &bad) {
+              bad.spec->occurrences = largest;
+              bad.spec->firstRunMs = 1;
+              bad.spec->intervalMs = latest;
+          } },
+        { "id of another job", [](auto &bad) { bad.id = "other"; } },
+    };
+}
+
+sched::progress progressOf(const std::string &worker)
+{
+    sched::progress record;
+    auto task = std::make_unique<sched::task_progress>();
+    task->phase = static_cast<std::uint8_t>(sched::task_phase::active);
+    task->run = 1;
+    task->worker = worker;
+    task->workerStartMs = 1;
+    record.tasks.push_back(std::move(task));
+    return record;
+}
+
+std::string encoded(const sched::submission &record)
+{
+    return record.spec ? sched::encodeSubmission(record) : std::string("\x04\0\0\0", 4);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(scheduler_records)
+
+// Guards against a record of another writer that ends each process that becomes the owner, for
+// example by a count of tasks that exceeds the memory.
+BOOST_AUTO_TEST_CASE(badSubmissionsInTheStoreAreRejectedAndTheOthersRun)
+{
+    for (const auto &[what, spoil] : badSubmissions()) {
+        BOOST_TEST_CONTEXT(what)
+        {
+            sched::submission bad = submissionOf("bad", 1);
+            spoil(bad);
+            fleet_model model(2);
+            BOOST_CHECK_THROW(model.owner->load({ "jbad", encoded(bad) }), error);
+            model.run(1'000);
+            model.send(model.submission("good", 2));
+            BOOST_TEST(model.runUntil("good", job_state::completed, 4'000));
+        }
+    }
+}
+
+// Guards against a gateway of another release, or another program, that ends the owner.
+BOOST_AUTO_TEST_CASE(badSubmissionsOfCallsAreRejectedAndTheOthersRun)
+{
+    for (const auto &[what, spoil] : badSubmissions()) {
+        BOOST_TEST_CONTEXT(what)
+        {
+            fleet_model model(2);
+            model.run(1'000);
+            auto call = model.submission("bad", 1);
+            call.number = 7;
+            spoil(*call.submitted);
+            model.send(call);
+            model.send(model.submission("good", 2));
+            BOOST_TEST(model.runUntil("good", job_state::completed, 4'000));
+            BOOST_REQUIRE(model.answers.count(7) == 1U);
+            BOOST_TEST(model.answers[7].outcome == static_cast<int>(sched::call_outcome::rejected));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(truncatedRecordsAreRejected)
+{
+    const sched::submission original = submissionOf("a", 2);
+    const std::string bytes = sched::encodeSubmission(original);
+    std::size_t rejected = 0;
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        try {
+            // Without the padding at its end, a record is still complete.
+            BOOST_TEST((sched::decodeSubmission(bytes.substr(0, size)) == original));
+        } catch (const error & /*failure*/) {
+            ++rejected;
+        }
+    }
+    BOOST_TEST(rejected + 4 >= bytes.size());
+    BOOST_CHECK_THROW(sched::decodeSubmission(std::string(1'000'000, '\xff')), error);
+    BOOST_CHECK_THROW(sched::decodeProgress(std::string(1'000'000, '[')), error);
+    BOOST_CHECK_THROW(sched::decodeMember("{\"node\":\"n\"}"), error);
+}
+
+// Guards against rows of a progress record that name no task: an occurrence of four billion filled
+// the memory, and a repeated row counted a waiting task twice.
+BOOST_AUTO_TEST_CASE(badRowsOfAProgressRecordAreSkippedAndTheJobRuns)
+{
+    constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+    const std::vector<std::pair<std::string, std::function<void(sched::task_progress &)>>> rows = {
+        { "occurrence", [](auto &row) { row.occurrence = largest; } },
+        { "second occurrence", [](auto &row) { row.occurrence = 1; } },
+        { "step", [](auto &row) { row.step = largest; } },
+        { "index", [](auto &row) { row.index = largest; } },
+        { "phase", [](auto &row) { row.phase = 255; } },
+        { "run", [](auto &row) { row.run = 0; } },
+        { "repeated", [](auto & /*row*/) {} },
+    };
+    for (const auto &[what, spoil] : rows) {
+        BOOST_TEST_CONTEXT(what)
+        {
+            fleet_model model(2);
+            model.stored["ja"] = sched::encodeSubmission(submissionOf("a", 2));
+            sched::progress record = progressOf("gone");
+            record.tasks.push_back(std::move(progressOf("gone").tasks[0]));
+            spoil(*record.tasks[1]);
+            model.stored["pa"] = sched::encodeProgress(record);
+            model.newOwner();
+            const auto &step = model.owner->findJob("a")->occurrences.at(0).steps.at(0);
+            BOOST_TEST(step.waiting == 1U);
+            BOOST_TEST(step.active == 1U);
+            BOOST_TEST(model.owner->findJob("a")->occurrences.size() == 1U);
+            BOOST_TEST(model.runUntil("a", job_state::completed, 15'000));
+            requireNoViolations(model);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anUnknownOutcomeInTheStoreLeavesTheJobOpen)
+{
+    fleet_model model(2);
+    model.stored["ja"] = sched::encodeSubmission(submissionOf("a", 2));
+    sched::progress record;
+    record.outcome = 255;
+    model.stored["pa"] = sched::encodeProgress(record);
+    model.newOwner();
+    BOOST_TEST(model.runUntil("a", job_state::completed, 4'000));
+}
+
+// Guards against a job whose occurrences are all due at once and exceed the memory.
+BOOST_AUTO_TEST_CASE(dueOccurrencesAreLimited)
+{
+    fleet_model model(1);
+    model.run(1'000);
+    auto call = model.submission("many", 20'000);
+    call.submitted->spec->occurrences = std::numeric_limits<std::uint32_t>::max();
+    model.send(call);
+    BOOST_TEST(model.owner->findJob("many")->occurrences.size() == 24U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
