Keep the name of a connected member when its entry changes

Operators would see one agent counted as another, or as a gateway.

Cause: each new entry for an address replaced what the connected member had said of itself. An entry of another writer therefore renamed it: its reports counted for the other name, and it was not found again when it disconnected.

While a member is connected, an entry only shows that it is still announced.

Test anEntryDoesNotRenameAConnectedMember failed before.

--- a/src/libfleet/member_dialer.cpp
+++ b/src/libfleet/member_dialer.cpp
@@ -48,7 +48,9 @@
 {
     const auto existing = m_peersByAddress.find(member.address);
     if (existing != m_peersByAddress.end()) {
-        existing->second->member = member;
+        // What a connected member says of itself holds; an entry may come from another writer.
+        if (!existing->second->open)
+            existing->second->member = member;
         existing->second->lastSeen = steady::now();
         return;
     }
--- /dev/null
+++ b/src/libfleet/member_dialer_test.cpp
@@ -0,0 +1,59 @@
+#include "plantainpitch/fleet/member_dialer.h"
+
+#include "plantainpitch/fleet/member_endpoint.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpitch;
+
+namespace {
+
+/// Returns a port of the loopback interface at which nothing listens.
+std::uint16_t freePort()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context,
+                                            { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+} // namespace
+
+// Guards against an entry of another writer that renames a connected agent: the owner took its
+// reports for those of another one, and counted a further agent.
+BOOST_AUTO_TEST_CASE(anEntryDoesNotRenameAConnectedMember)
+{
+    boost::asio::io_context context;
+    const std::uint16_t port = freePort();
+    fleet::member_endpoint endpoint(
+            context, { .address = "127.0.0.1", .port = port, .node = "agent", .isAgent = true },
+            { .opened = [](const sched::owner_hello & /*hello*/) { return true; },
+              .ready = [] {},
+              .received = [](const sched::message & /*content*/) {},
+              .closed = [] {},
+              .failed = [](const std::string & /*problem*/) {} });
+    endpoint.start();
+    bool opened = false;
+    fleet::member_dialer dialer(
+            context, {},
+            { .opened = [&opened](const sched::member & /*member*/) { opened = true; },
+              .closed = [](const sched::member & /*member*/) {},
+              .received = [](const sched::member & /*member*/,
+                             const sched::message & /*content*/) {},
+              .removed = [](const sched::member & /*member*/) {},
+              .failed = [](const std::string & /*problem*/) {} });
+    sched::member entry;
+    entry.node = "agent";
+    entry.address = "127.0.0.1:" + std::to_string(port);
+    entry.isAgent = true;
+    dialer.add(entry);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!opened && std::chrono::steady_clock::now() < end)
+        context.run_one_for(std::chrono::milliseconds(100));
+    BOOST_REQUIRE(opened);
+    entry.node = "other";
+    dialer.add(entry);
+    const std::vector<std::string> expected = { "agent" };
+    BOOST_TEST(dialer.agents() == expected, boost::test_tools::per_element());
+    endpoint.close();
+}
