Bound the size of a value in a log line

Cause: problems name what another program sent, such as a key, an outcome or the id of a worker, and nothing limited its length.

A value is cut off after 2,000 bytes and "..." is added.

Test longValuesAreCutOff failed before.

--- a/src/libruntime/log_line.cpp
+++ b/src/libruntime/log_line.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Longer values are cut off: they may hold what another program sent.
+constexpr std::size_t maxValueBytes = 2'000;
+
 const char *levelName(log_level level)
 {
     switch (level) {
@@ -45,7 +48,10 @@
 std::string formatLogLine(const write_log &line)
 {
     std::string text = std::string("level=") + levelName(line.level) + " event=" + line.event;
-    for (const auto &[key, value] : line.fields) {
+    for (const auto &[key, fullValue] : line.fields) {
+        std::string value = fullValue.substr(0, maxValueBytes);
+        if (value.size() < fullValue.size())
+            value += "...";
         text += ' ' + key + '=';
         if (!value.empty() && std::all_of(value.begin(), value.end(), isPlain)) {
             text += value;
--- a/src/libruntime/log_line_test.cpp
+++ b/src/libruntime/log_line_test.cpp
@@ -21,6 +21,14 @@
                   "e=\"\\x00\\x1b\"");
 }
 
+// Guards against a line as long as what another program sent, up to megabytes.
+BOOST_AUTO_TEST_CASE(longValuesAreCutOff)
+{
+    const std::string line = formatLogLine(
+            { log_level::error, "e", { { "a", std::string(3'000'000, 'x') }, { "b", "c" } } });
+    BOOST_TEST((line == "level=error event=e a=" + std::string(2'000, 'x') + "... b=c"));
+}
+
 // Guards against a repeated fault that fills the output, and against a silent gap.
 BOOST_AUTO_TEST_CASE(repeatedEventsAreCountedInsteadOfWritten)
 {
