--- a/src/include/plantainpitch/sched/resources.h
+++ b/src/include/plantainpitch/sched/resources.h
@@ -17,8 +17,7 @@
                && accelerators <= available.accelerators;
     }
 
-    /// The same for an amount of \a available that may be negative: what is not needed is not
-    /// compared.
+    /// The same, but compares only the resources that are needed; \a available may be negative.
     [[nodiscard]] bool fitsWhereNeeded(const resources &available) const
     {
         return (cpu == 0 || cpu <= available.cpu)
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -142,7 +142,7 @@
 BOOST_AUTO_TEST_SUITE(agent)
 
 // Guards against runs that stand still for good: an earlier agent process had paced them down, and
-// its successor took it that they work at full pace.
+// its successor assumed full pace.
 BOOST_AUTO_TEST_CASE(anAdoptedFillingRunGetsAPace)
 {
     granted_agent agent;
--- a/src/libsched/scheduler_long_running.cpp
+++ b/src/libsched/scheduler_long_running.cpp
@@ -11,9 +11,9 @@
 /// A task of a long-running step that has waited this long goes before all other work, whatever
 /// its queue. Until then it competes in the order of the queues.
 constexpr milliseconds overdueAfter{ 1'000 };
-/// An overdue task also takes workers that are excluded after this long. Between two runs on a
-/// worker that fails everything lies at least this much.
-constexpr milliseconds takesExcludedAfter{ 2'000 };
+/// An overdue task also uses excluded workers after this long, so that its runs on a worker that
+/// fails everything are at least this far apart.
+constexpr milliseconds useExcludedAfter{ 2'000 };
 /// Room is held on one more worker each time the task has waited this much longer, because the
 /// runs on the first one may take longer than estimated.
 constexpr milliseconds holdInterval{ 1'500 };
@@ -85,13 +85,13 @@
     for (const overdue_task &each : findOverdueLongRunning(now)) {
         const step_spec &spec = each.parentJob->stepSpec(each.step);
         task &task = each.parentOccurrence->steps[each.step].tasks[each.index];
-        const bool takesExcluded = now - each.since >= takesExcludedAfter;
+        const bool mayUseExcluded = now - each.since >= useExcludedAfter;
         if (each.queue->needsTickets)
             requestTickets(*each.parentJob, *each.queue, *each.parentOccurrence, each.step,
-                           takesExcluded, now);
+                           mayUseExcluded, now);
         const auto eligible = eligibleWorkers(
                 *each.parentJob, *each.queue, *each.parentOccurrence, each.step,
-                { .starved = true, .overdue = true, .mayUseExcluded = takesExcluded }, now);
+                { .starved = true, .overdue = true, .mayUseExcluded = mayUseExcluded }, now);
         worker *choice = m_placement.choose(eligible, spec, task);
         if (choice && task.retryAt <= now) {
             start(*each.parentJob, *each.parentOccurrence, each.step, each.index, *choice,
