--- a/src/libruntime/logging.cpp
+++ b/src/libruntime/logging.cpp
@@ -42,14 +42,6 @@
     return name == "error" ? log_level::error : log_level::info;
 }
 
-/// Initializes log4cplus once, for the life of the process: its shutdown joins the threads of its
-/// pool, which can hang until the process is killed.
-void initializeLibrary()
-{
-    static const auto *const initializer = new log4cplus::Initializer; // NOLINT: never deleted
-    static_cast<void>(initializer);
-}
-
 } // namespace
 
 struct logging::state
@@ -63,7 +55,9 @@
 logging::logging(const clock &time, const std::string &level, log_stream stream)
     : m_state(std::make_unique<state>())
 {
-    initializeLibrary();
+    // Stays initialized for the life of the process: the shutdown of log4cplus joins the threads of
+    // its pool, which can hang until the process is killed.
+    log4cplus::initialize();
     m_state->time = &time;
     m_state->logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("plantain"));
     m_state->logger.setLogLevel(levelOf(levelNamed(level)));
