Count a run that completed before its worker was taken as lost

Cause: while a worker hangs or is cut off, its runs end, and its lease lapses before the owner has heard of the ends. The owner takes the runs as lost; the ends that arrive afterwards were ignored, although the tasks still waited.

Change: an end as done of the last run of a task that waits again counts. The same holds for the other members of a gang, one of which may have been taken as lost before the end of the gang is known.

aTaskThatCompletedBeforeItsWorkerWasTakenAsLostIsNotStartedAgain failed before (one start too many) and passes.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -154,6 +154,8 @@
     task_location findTask(const std::string &name);
     void logRunEnd(const worker &worker, const run_end &end, const task_location &location,
                    bool current, instant now);
+    [[nodiscard]] static bool completedBeforeItsLoss(const worker &worker, const run_end &end,
+                                                     const task_location &location);
     void onRunEnd(worker &worker, const run_end &end, instant now);
     void onRunRefusal(worker &worker, const run_refusal &refusal, instant now);
     void taskDone(const task_location &location);
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -91,10 +91,11 @@
 {
     const auto stepIndex =
             static_cast<std::uint32_t>(location.step - location.parentOccurrence->steps.data());
+    // A task may wait again because its worker was taken as lost before its end was known.
     const auto finish = [&location](task &task) {
-        if (task.phase != task_phase::active)
+        if (task.phase != task_phase::active && task.phase != task_phase::waiting)
             return;
-        --location.step->active;
+        --(task.phase == task_phase::active ? location.step->active : location.step->waiting);
         ++location.step->done;
         task.phase = task_phase::done;
         task.checkpoint.clear();
@@ -196,6 +197,19 @@
         member.checkpoint = checkpoint;
 }
 
+/// Whether the run was taken as lost with its worker, has not been replaced, and turns out to have
+/// completed before. Its work must not be done twice.
+bool scheduler::completedBeforeItsLoss(const worker &worker, const run_end &end,
+                                       const task_location &location)
+{
+    if (!location.taskState || location.parentJob->ended()
+        || static_cast<run_outcome>(end.outcome) != run_outcome::done)
+        return false;
+    const task &task = *location.taskState;
+    return task.phase == task_phase::waiting && task.run == end.run && task.place == worker.key
+           && !location.parentJob->stepSpec(task_name::parse(end.task)->step).longRunning;
+}
+
 void scheduler::onRunEnd(worker &worker, const run_end &end, instant now)
 {
     release(worker, end.task, end.run);
@@ -205,6 +219,13 @@
                          && location.taskState->run == end.run
                          && location.taskState->place == worker.key;
     logRunEnd(worker, end, location, current, now);
+    if (completedBeforeItsLoss(worker, end, location)) {
+        location.parentJob->begun = true;
+        if (location.taskState->suspected())
+            clearSuspicion(location, worker, end.task);
+        taskDone(location);
+        return;
+    }
     if (!current)
         return;
     location.parentJob->begun = true;
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -204,6 +204,27 @@
     requireNoViolations(model);
 }
 
+// Guards against work that is done twice: the end of a run that the owner had taken as lost was
+// ignored, and its task was started again.
+BOOST_AUTO_TEST_CASE(aTaskThatCompletedBeforeItsWorkerWasTakenAsLostIsNotStartedAgain)
+{
+    fleet_model model(3);
+    model.nodes[0].worker.info.labels.push_back("x");
+    model.run(1'000);
+    auto call = model.submission("j1", 1, 500, 2);
+    call.submitted->spec->steps[0]->requiredLabel = "x";
+    model.send(call);
+    model.run(300);
+    BOOST_REQUIRE(model.nodes[0].worker.running.count("j1.0.0.0") == 1U);
+    model.nodes[0].partitioned = true;
+    model.run(9'000);
+    BOOST_REQUIRE(model.owner->findJob("j1")->occurrences[0].steps[0].waiting == 1U);
+    model.nodes[0].partitioned = false;
+    BOOST_TEST(model.runUntil("j1", job_state::completed, 5'000));
+    BOOST_TEST(model.starts.count("j1.0.0.0 2") == 0U);
+    requireNoViolations(model);
+}
+
 BOOST_AUTO_TEST_CASE(tasksOfACrashedWorkerStartElsewhereAtOnce)
 {
     fleet_model model(3);
