Place jobs that stand still in a mostly free service

Cause, from reading: workers are excluded for failures for up to 24 s and kept for late jobs; batch work waited for the ends of both without a bound, also if nothing else was in use. A run that completed on an excluded worker did not end the exclusion, and an active job without waiting tasks did not count as active, so that its wait was not known.

The last attempt of a task goes to an excluded worker only if nothing has failed there for 2.5 s. A run that began during an exclusion and completes ends it.

--- a/src/include/plantainpitch/sched/placement_request.h
+++ b/src/include/plantainpitch/sched/placement_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainpitch/sched/job.h"
+#include "plantainpitch/sched/placement_terms.h"
 
 #include <cstdint>
 #include <string>
@@ -15,6 +16,7 @@
     std::string image;
     bool fills = false;
     bool starved = false; ///< admitted at less headroom
+    bool lastResort = false; ///< may use excluded and kept workers
     std::int64_t cpu = 0; ///< thousandths of a core
     std::int64_t memoryMb = 0;
     std::int64_t accelerators = 0;
@@ -27,18 +29,20 @@
     {
         return service == other.service && requiredLabel == other.requiredLabel
                && image == other.image && fills == other.fills && starved <= other.starved
-               && cpu >= other.cpu && memoryMb >= other.memoryMb
+               && lastResort <= other.lastResort && cpu >= other.cpu && memoryMb >= other.memoryMb
                && accelerators >= other.accelerators && estimateMs >= other.estimateMs;
     }
 };
 
-inline placement_request requestOf(const step_spec &step, const std::string &service, bool starved)
+inline placement_request requestOf(const step_spec &step, const std::string &service,
+                                   const placement_terms &terms)
 {
     return { .service = service,
              .requiredLabel = step.requiredLabel,
              .image = imageOf(step),
              .fills = step.fills,
-             .starved = starved,
+             .starved = terms.starved,
+             .lastResort = terms.mayUseExcluded && terms.mayUseKept,
              .cpu = step.cpu,
              .memoryMb = step.memoryMb,
              .accelerators = step.accelerators,
--- a/src/include/plantainpitch/sched/placement_terms.h
+++ b/src/include/plantainpitch/sched/placement_terms.h
@@ -11,6 +11,15 @@
     bool overdue = false;
     /// An excluded worker is better than none.
     bool mayUseExcluded = false;
+    /// The job has stood still for too long although most of its service is free: if nothing else
+    /// has room, a worker that is kept for a late job or room that is held from batch work will do.
+    bool mayUseKept = false;
+    /// Any worker that these terms allow counts, not just the best kind: the members of a gang need
+    /// their places at the same time.
+    bool together = false;
+
+    /// Whether it may use room that is held from batch work.
+    [[nodiscard]] bool mayUseHeldFromBatch() const { return overdue || mayUseKept; }
 
     bool operator==(const placement_terms &) const = default;
 };
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -171,9 +171,12 @@
 
     // scheduler_placing.cpp
     void schedulePass(instant now);
-    void placeSteps(job &job, const queue_config &queue, bool starved, instant now);
+    void placeSteps(job &job, const queue_config &queue, const placement_terms &terms, instant now);
     void placeStep(job &job, const queue_config &queue, occurrence &occurrence, std::uint32_t step,
-                   bool starved, instant now);
+                   const placement_terms &terms, instant now);
+    [[nodiscard]] worker *chooseWorker(const std::vector<worker *> &eligible,
+                                       const queue_config &queue, const step_spec &step,
+                                       const task &task, instant now) const;
     [[nodiscard]] bool fitsNowhere(const placement_request &request, const job &job) const;
     void start(job &job, occurrence &occurrence, std::uint32_t step, std::uint32_t index,
                worker &worker, std::uint32_t run, instant now);
@@ -187,6 +190,10 @@
                         std::uint32_t step, bool starved, instant now);
     bool placeGang(job &job, const queue_config &queue, occurrence &occurrence, std::uint32_t step,
                    const placement_terms &terms, instant now);
+    [[nodiscard]] std::vector<worker *> chooseForGang(const job &job, const queue_config &queue,
+                                                      const occurrence &occurrence,
+                                                      std::uint32_t step,
+                                                      const placement_terms &terms, instant now);
     [[nodiscard]] std::vector<worker *> planGang(const job &job, const occurrence &occurrence,
                                                  std::uint32_t step, std::vector<worker *> eligible,
                                                  const placement_terms &terms) const;
@@ -210,6 +217,10 @@
     bool holdRoom(const overdue_task &waiting, instant now);
     void holdRoomForGang(const overdue_task &waiting, instant now);
 
+    // scheduler_standing_jobs.cpp: jobs that stand still although most of their service is free
+    void placeStandingJobs(instant now);
+    [[nodiscard]] bool isMostlyFree(const std::string &service) const;
+
     // scheduler_late_jobs.cpp: batch jobs that are too late to be of use
     std::vector<job *> findLateJobs(instant now);
     void placeLateJob(instant now);
@@ -331,6 +342,7 @@
     instant m_lastPass{};
     instant m_nextLateJob{}; ///< no late job gets a place before
     std::size_t m_nextLateTurn = 0; ///< first of the younger late jobs that the next pass considers
+    std::size_t m_nextStandingTurn = 0; ///< the same of the jobs that stand still
     std::string m_keptLateJob; ///< the last one that a worker was kept for
     instant m_lastSubmission{};
     instant m_lastStateLog{};
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -105,6 +105,8 @@
     std::vector<job_failure> failedJobs;
     instant excludedUntil{};
     std::uint32_t exclusions = 0;
+    instant failuresExcludedAt{}; ///< begin of the last exclusion for failures
+    instant lastFailure{};
 
     // For log lines about exclusions.
     std::string exclusionReason; ///< of the last exclusion; one of a small set
--- a/src/include/plantainpitch/sched/worker_health.h
+++ b/src/include/plantainpitch/sched/worker_health.h
@@ -3,6 +3,7 @@
 #include "plantainpitch/model/instant.h"
 #include "plantainpitch/sched/worker.h"
 
+#include <cstdint>
 #include <string>
 
 namespace plantainpitch::sched {
@@ -11,7 +12,12 @@
 /// row. Failures of a single job do not count, as that job may fail on every worker. Failures that
 /// lie far back are forgotten.
 void recordFailure(worker &worker, const std::string &job, instant now);
-/// Resets the failure history after a task has completed on the worker.
-void recordSuccess(worker &worker);
+/// Resets the failure history after a run that was ordered at \a orderedAt has completed on the
+/// worker. A run that began during an exclusion for failures ends it.
+void recordSuccess(worker &worker, instant orderedAt, instant now);
+/// Whether a task with this many failures may start on the worker although it is excluded. The last
+/// attempt is not risked right after another task has failed there.
+bool mayTryExcluded(const worker &worker, std::uint32_t failures, std::uint32_t maxAttempts,
+                    instant now);
 
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -1,5 +1,7 @@
 #include "plantainpitch/sched/scheduler.h"
 
+#include "plantainpitch/sched/worker_health.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -69,15 +71,19 @@
     const resources needed = reservation(spec);
     const std::string name = task_name{ job.request.id, occurrence.number, step, 0 }.stepText();
     std::vector<worker *> result;
+    std::vector<worker *> kept;
     std::vector<worker *> excluded;
     for (auto &[key, entry] : m_workers) {
         worker *const candidate = entry.get(); // lambdas cannot capture the names of a binding
         if (!mayRun(*candidate, queue, spec) || candidate->trials > 0
-            || !candidate->hasRoomFor(needed, terms.overdue)
+            || !candidate->hasRoomFor(needed, terms.mayUseHeldFromBatch())
             || !m_placement.admits(*candidate, spec, terms.starved))
             continue;
-        if (!candidate->keptForJob.empty() && candidate->keptForJob != job.request.id
-            && !terms.overdue)
+        const bool keptForOthers =
+                !terms.overdue
+                && (!candidate->hasRoomFor(needed)
+                    || (!candidate->keptForJob.empty() && candidate->keptForJob != job.request.id));
+        if (keptForOthers && !terms.mayUseKept)
             continue;
         if (queue.needsTickets && !m_advice.ticketFor(name, key.id, now))
             continue;
@@ -89,9 +95,21 @@
             if (here >= spec.maxPerVm)
                 continue;
         }
-        (candidate->excludedUntil <= now ? result : excluded).push_back(candidate);
+        if (candidate->excludedUntil > now)
+            excluded.push_back(candidate);
+        else
+            (keptForOthers ? kept : result).push_back(candidate);
+    }
+    if (!terms.mayUseExcluded)
+        excluded.clear();
+    if (terms.together) {
+        result.insert(result.end(), kept.begin(), kept.end());
+        result.insert(result.end(), excluded.begin(), excluded.end());
+        return result;
     }
-    return terms.mayUseExcluded && result.empty() ? excluded : result;
+    if (!result.empty())
+        return result;
+    return kept.empty() ? excluded : kept;
 }
 
 /// Whether this pass has found no worker for a step that asks no more. Saves looking at all workers
@@ -157,18 +175,17 @@
 }
 
 void scheduler::placeStep(job &job, const queue_config &queue, occurrence &occurrence,
-                          std::uint32_t step, bool starved, instant now)
+                          std::uint32_t step, const placement_terms &terms, instant now)
 {
     if (job.stepSpec(step).gang) {
-        placeGang(job, queue, occurrence, step, { .starved = starved }, now);
+        placeGang(job, queue, occurrence, step, terms, now);
         return;
     }
-    const placement_request request = requestOf(job.stepSpec(step), queue.service, starved);
+    const placement_request request = requestOf(job.stepSpec(step), queue.service, terms);
     if (fitsNowhere(request, job))
         return;
     auto &tasks = occurrence.steps[step].tasks;
-    std::vector<worker *> eligible =
-            eligibleWorkers(job, queue, occurrence, step, { .starved = starved }, now);
+    std::vector<worker *> eligible = eligibleWorkers(job, queue, occurrence, step, terms, now);
     // Tickets and limits on tasks per VM hold for this step only.
     if (eligible.empty() && !queue.needsTickets && job.stepSpec(step).maxPerVm == 0)
         m_unplaceable.push_back(request);
@@ -177,36 +194,72 @@
         task &task = tasks[index];
         if (task.phase != task_phase::waiting || task.retryAt > now)
             continue;
-        worker *choice = task.suspected()
-                                 ? chooseForSuspect(eligible, job.stepSpec(step), task, now)
-                                 : m_placement.choose(eligible, job.stepSpec(step), task);
-        if (!choice && task.needsTrial())
-            continue;
+        worker *choice = chooseWorker(eligible, queue, job.stepSpec(step), task, now);
         if (!choice)
-            return;
+            continue; // the next task may need no trial, or have more attempts left
         start(job, occurrence, step, index, *choice, task.run + 1, now);
-        if (starved)
+        if (terms.starved)
             return;
         if (job.stepSpec(step).maxPerVm > 0)
-            eligible = eligibleWorkers(job, queue, occurrence, step, { .starved = starved }, now);
+            eligible = eligibleWorkers(job, queue, occurrence, step, terms, now);
         else if (choice->trials > 0 || !choice->hasRoomFor(needed)
-                 || !m_placement.admits(*choice, job.stepSpec(step), starved))
+                 || !m_placement.admits(*choice, job.stepSpec(step), terms.starved))
             eligible.erase(std::remove(eligible.begin(), eligible.end(), choice), eligible.end());
     }
 }
 
+/// Chooses one of the eligible workers for a task; none if the task has to wait for another one.
+worker *scheduler::chooseWorker(const std::vector<worker *> &eligible, const queue_config &queue,
+                                const step_spec &step, const task &task, instant now) const
+{
+    const auto choose = [&](const std::vector<worker *> &candidates) {
+        return task.suspected() ? chooseForSuspect(candidates, step, task, now)
+                                : m_placement.choose(candidates, step, task);
+    };
+    const auto isRisky = [&](const worker *each) {
+        return each->excludedUntil > now
+               && !mayTryExcluded(*each, task.failures, queue.maxAttempts, now);
+    };
+    if (std::none_of(eligible.begin(), eligible.end(), isRisky))
+        return choose(eligible);
+    std::vector<worker *> candidates = eligible;
+    std::erase_if(candidates, isRisky);
+    return choose(candidates);
+}
+
 /// Starts all members of a gang or none: members that wait for others would hold resources and end
 /// without having done any work. Returns whether they were started.
 bool scheduler::placeGang(job &job, const queue_config &queue, occurrence &occurrence,
                           std::uint32_t step, const placement_terms &terms, instant now)
 {
-    const step_spec &spec = job.stepSpec(step);
     const step_run &members = occurrence.steps[step];
     const auto mayStart = [now](const task &task) {
         return task.phase == task_phase::waiting && task.retryAt <= now;
     };
     if (!std::all_of(members.tasks.begin(), members.tasks.end(), mayStart))
         return false; // members of the last run have not all ended
+    std::vector<worker *> chosen = chooseForGang(job, queue, occurrence, step, terms, now);
+    if (chosen.empty() && terms.mayUseExcluded) {
+        placement_terms allTogether = terms;
+        allTogether.together = true;
+        chosen = chooseForGang(job, queue, occurrence, step, allTogether, now);
+    }
+    std::uint32_t run = 0;
+    for (const task &task : members.tasks)
+        run = std::max(run, task.run + 1);
+    for (std::uint32_t index = 0; index < chosen.size(); ++index)
+        start(job, occurrence, step, index, *chosen[index], run, now);
+    return !chosen.empty();
+}
+
+/// Chooses a worker for each member of the gang, in one rack if the step asks for that and a rack
+/// can hold it; empty if they do not all fit.
+std::vector<worker *> scheduler::chooseForGang(const job &job, const queue_config &queue,
+                                               const occurrence &occurrence, std::uint32_t step,
+                                               const placement_terms &terms, instant now)
+{
+    const step_spec &spec = job.stepSpec(step);
+    const step_run &members = occurrence.steps[step];
     std::vector<worker *> eligible = eligibleWorkers(job, queue, occurrence, step, terms, now);
     const auto suspect = std::max_element(members.tasks.begin(), members.tasks.end(),
                                           [](const task &a, const task &b) {
@@ -215,25 +268,18 @@
                                           });
     if (suspect != members.tasks.end() && suspect->suspected())
         eligible = workersForSuspect(std::move(eligible), *suspect, now);
-    std::vector<worker *> chosen;
     const bool waitsForRack = spec.sameRack && !terms.overdue
                               && now - job.lastActive < starvationThreshold
                               && fitsOneRack(queue.service, spec);
     if (spec.sameRack) {
         for (const auto &[rack, workers] : byRack(eligible)) {
-            chosen = planGang(job, occurrence, step, workers, terms);
+            const auto chosen = planGang(job, occurrence, step, workers, terms);
             if (!chosen.empty())
-                break;
+                return chosen;
         }
     }
-    if (chosen.empty() && !waitsForRack)
-        chosen = planGang(job, occurrence, step, eligible, terms);
-    std::uint32_t run = 0;
-    for (const task &task : members.tasks)
-        run = std::max(run, task.run + 1);
-    for (std::uint32_t index = 0; index < chosen.size(); ++index)
-        start(job, occurrence, step, index, *chosen[index], run, now);
-    return !chosen.empty();
+    return waitsForRack ? std::vector<worker *>()
+                        : planGang(job, occurrence, step, std::move(eligible), terms);
 }
 
 /// Whether a rack whose workers run nothing else could hold the whole gang.
@@ -270,7 +316,7 @@
         choice->reserve(nameOf(index), allocation);
         chosen.push_back(choice);
         const bool full = spec.maxPerVm > 0 && ++members[choice] >= spec.maxPerVm;
-        if (full || !choice->hasRoomFor(allocation.reserved, terms.overdue)
+        if (full || !choice->hasRoomFor(allocation.reserved, terms.mayUseHeldFromBatch())
             || !m_placement.admits(*choice, spec, terms.starved))
             eligible.erase(std::remove(eligible.begin(), eligible.end(), choice), eligible.end());
     }
@@ -299,6 +345,8 @@
     };
     std::vector<ranked> waiting;
     for (job *job : m_open) {
+        if (job->isActive())
+            job->lastActive = now;
         const queue_config *queue = queueOf(*job);
         if (queue && job->hasStartableTask())
             waiting.push_back(
@@ -311,13 +359,9 @@
     const auto placeStarvedJobs = [&] {
         for (const ranked &entry : waiting) {
             if (now - entry.target->lastActive >= starvationThreshold)
-                placeSteps(*entry.target, *entry.queue, true, now);
+                placeSteps(*entry.target, *entry.queue, { .starved = true }, now);
         }
     };
-    for (const ranked &entry : waiting) {
-        if (entry.target->isActive())
-            entry.target->lastActive = now;
-    }
     const bool queueIsShort = static_cast<double>(waiting.size())
                               <= shortQueueJobsPerWorker * static_cast<double>(m_workers.size());
     // While jobs are being submitted, starved jobs would take capacity from jobs that can still
@@ -327,16 +371,18 @@
     if (draining)
         placeStarvedJobs();
     for (const ranked &entry : waiting)
-        placeSteps(*entry.target, *entry.queue, false, now);
+        placeSteps(*entry.target, *entry.queue, {}, now);
     if (queueIsShort && !draining)
         placeStarvedJobs();
+    placeStandingJobs(now);
     for (const ranked &entry : waiting) {
         if (now - entry.target->lastActive >= starvationThreshold && !entry.target->isActive())
             logStarvedJob(*entry.target, *entry.queue, now);
     }
 }
 
-void scheduler::placeSteps(job &job, const queue_config &queue, bool starved, instant now)
+void scheduler::placeSteps(job &job, const queue_config &queue, const placement_terms &terms,
+                           instant now)
 {
     for (occurrence &occurrence : job.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -344,9 +390,9 @@
                 continue;
             const bool startable = job.dependenciesDone(occurrence, step);
             if (queue.needsTickets && (startable || dependenciesStarted(job, occurrence, step)))
-                requestTickets(job, queue, occurrence, step, false, now);
+                requestTickets(job, queue, occurrence, step, terms.mayUseExcluded, now);
             if (startable)
-                placeStep(job, queue, occurrence, step, starved, now);
+                placeStep(job, queue, occurrence, step, terms, now);
         }
     }
 }
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -239,7 +239,7 @@
             static_cast<std::uint32_t>(location.step - location.parentOccurrence->steps.data());
     const bool longRunning = location.parentJob->stepSpec(step).longRunning;
     if (outcome == run_outcome::done && !longRunning && !location.parentJob->ended()) {
-        recordSuccess(worker);
+        recordSuccess(worker, location.taskState->orderedAt, now);
         taskDone(location);
     } else if (outcome == run_outcome::failed) {
         taskFailed(location, worker, now);
--- a/src/libsched/worker_health.cpp
+++ b/src/libsched/worker_health.cpp
@@ -14,6 +14,9 @@
 /// and single failures of services would add up over hours. Longer than a worker that fails
 /// everything needs to fail again after an exclusion.
 constexpr std::chrono::seconds evidenceValidity{ 30 };
+/// An excluded worker gets the last attempt of a task only if nothing has failed there for this
+/// long. Shorter than the three seconds that a job may stand still beside free capacity.
+constexpr std::chrono::milliseconds lastAttemptPause{ 2'500 };
 
 void forgetOldFailures(worker &worker, instant now)
 {
@@ -28,6 +31,7 @@
 void recordFailure(worker &worker, const std::string &job, instant now)
 {
     forgetOldFailures(worker, now);
+    worker.lastFailure = now;
     const auto known = std::find_if(worker.failedJobs.begin(), worker.failedJobs.end(),
                                     [&job](const job_failure &each) { return each.job == job; });
     if (known != worker.failedJobs.end()) {
@@ -39,6 +43,7 @@
         return;
     worker.excludedUntil = now + firstExclusion * (1U << std::min(worker.exclusions, maxDoublings));
     ++worker.exclusions;
+    worker.failuresExcludedAt = now;
     worker.exclusionReason = "failures";
     worker.exclusionCause.clear();
     for (const job_failure &each : worker.failedJobs)
@@ -49,10 +54,18 @@
         each.at = worker.excludedUntil;
 }
 
-void recordSuccess(worker &worker)
+void recordSuccess(worker &worker, instant orderedAt, instant now)
 {
     worker.failedJobs.clear();
     worker.exclusions = 0;
+    if (worker.exclusionReason == "failures" && orderedAt >= worker.failuresExcludedAt)
+        worker.excludedUntil = std::min(worker.excludedUntil, now);
+}
+
+bool mayTryExcluded(const worker &worker, std::uint32_t failures, std::uint32_t maxAttempts,
+                    instant now)
+{
+    return failures + 1 < maxAttempts || now - worker.lastFailure >= lastAttemptPause;
 }
 
 } // namespace plantainpitch::sched
--- a/src/libsched/worker_health_test.cpp
+++ b/src/libsched/worker_health_test.cpp
@@ -62,4 +62,26 @@
     }
 }
 
+// Guards against a worker that stays excluded after it has shown to be sound.
+BOOST_AUTO_TEST_CASE(onlyARunThatBeganDuringAnExclusionEndsIt)
+{
+    sched::worker worker;
+    const instant last = failThreeJobs(worker, instant(seconds(100)), seconds(1));
+    recordSuccess(worker, last - seconds(1), last + seconds(1));
+    BOOST_TEST((worker.excludedUntil > last + seconds(1)));
+    recordSuccess(worker, last + seconds(1), last + seconds(2));
+    BOOST_TEST((worker.excludedUntil <= last + seconds(2)));
+}
+
+// Guards against a job that fails because the last attempt of a task goes to a worker on which
+// others have just failed.
+BOOST_AUTO_TEST_CASE(theLastAttemptOfATaskWaitsUntilTheFailuresOnAWorkerLieBack)
+{
+    sched::worker worker;
+    const instant last = failThreeJobs(worker, instant(seconds(100)), seconds(1));
+    BOOST_TEST(mayTryExcluded(worker, 0, 2, last));
+    BOOST_TEST(!mayTryExcluded(worker, 1, 2, last + seconds(2)));
+    BOOST_TEST(mayTryExcluded(worker, 1, 2, last + seconds(3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
