--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -80,7 +80,9 @@
     instant received{};
     instant objective{}; ///< end of the time in which completion earns full credit
     instant nextStarvedLog{}; ///< no line about its wait before
-    instant lastActive{}; ///< last pass at which a task was active; at first, the reception
+    /// When a task was last known to run or none could be started; at first, the reception. An
+    /// order alone does not count, as it may be refused or lost.
+    instant lastActive{};
 
     /// State that the store has acknowledged; clients see only this one.
     job_state committedState = job_state::queued;
--- a/src/include/plantainpitch/sched/placement_request.h
+++ b/src/include/plantainpitch/sched/placement_request.h
@@ -16,7 +16,8 @@
     std::string image;
     bool fills = false;
     bool starved = false; ///< admitted at less headroom
-    bool lastResort = false; ///< may use excluded and kept workers
+    bool mayUseExcluded = false;
+    bool mayUseReserved = false;
     std::int64_t cpu = 0; ///< thousandths of a core
     std::int64_t memoryMb = 0;
     std::int64_t accelerators = 0;
@@ -29,7 +30,8 @@
     {
         return service == other.service && requiredLabel == other.requiredLabel
                && image == other.image && fills == other.fills && starved <= other.starved
-               && lastResort <= other.lastResort && cpu >= other.cpu && memoryMb >= other.memoryMb
+               && mayUseExcluded <= other.mayUseExcluded && mayUseReserved <= other.mayUseReserved
+               && cpu >= other.cpu && memoryMb >= other.memoryMb
                && accelerators >= other.accelerators && estimateMs >= other.estimateMs;
     }
 };
@@ -42,7 +44,8 @@
              .image = imageOf(step),
              .fills = step.fills,
              .starved = terms.starved,
-             .lastResort = terms.mayUseExcluded && terms.mayUseKept,
+             .mayUseExcluded = terms.mayUseExcluded,
+             .mayUseReserved = terms.mayUseReserved,
              .cpu = step.cpu,
              .memoryMb = step.memoryMb,
              .accelerators = step.accelerators,
--- a/src/include/plantainpitch/sched/placement_terms.h
+++ b/src/include/plantainpitch/sched/placement_terms.h
@@ -11,15 +11,16 @@
     bool overdue = false;
     /// An excluded worker is better than none.
     bool mayUseExcluded = false;
-    /// The job has stood still for too long although most of its service is free: if nothing else
-    /// has room, a worker that is kept for a late job or room that is held from batch work will do.
-    bool mayUseKept = false;
-    /// Any worker that these terms allow counts, not just the best kind: the members of a gang need
-    /// their places at the same time.
-    bool together = false;
+    /// If nothing else has room, a worker that is kept for a late job or room that is held from
+    /// batch work will do.
+    bool mayUseReserved = false;
+    /// Sound workers, kept ones and excluded ones are eligible at the same time, as the members of
+    /// a gang need all their places at once. Otherwise each kind is used only if the one before it
+    /// has no room.
+    bool combineWorkers = false;
 
     /// Whether it may use room that is held from batch work.
-    [[nodiscard]] bool mayUseHeldFromBatch() const { return overdue || mayUseKept; }
+    [[nodiscard]] bool mayUseHeldFromBatch() const { return overdue || mayUseReserved; }
 
     bool operator==(const placement_terms &) const = default;
 };
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -187,13 +187,15 @@
                                                         std::uint32_t step,
                                                         const placement_terms &terms, instant now);
     void requestTickets(const job &job, const queue_config &queue, const occurrence &occurrence,
-                        std::uint32_t step, bool starved, instant now);
+                        std::uint32_t step, bool mayUseExcluded, instant now);
     bool placeGang(job &job, const queue_config &queue, occurrence &occurrence, std::uint32_t step,
                    const placement_terms &terms, instant now);
     [[nodiscard]] std::vector<worker *> chooseForGang(const job &job, const queue_config &queue,
                                                       const occurrence &occurrence,
                                                       std::uint32_t step,
                                                       const placement_terms &terms, instant now);
+    [[nodiscard]] worker *chooseSoundFirst(const std::vector<worker *> &eligible,
+                                           const step_spec &step, const task &task) const;
     [[nodiscard]] std::vector<worker *> planGang(const job &job, const occurrence &occurrence,
                                                  std::uint32_t step, std::vector<worker *> eligible,
                                                  const placement_terms &terms) const;
@@ -217,8 +219,9 @@
     bool holdRoom(const overdue_task &waiting, instant now);
     void holdRoomForGang(const overdue_task &waiting, instant now);
 
-    // scheduler_standing_jobs.cpp: jobs that stand still although most of their service is free
-    void placeStandingJobs(instant now);
+    // scheduler_stalled_jobs.cpp: jobs that stand still although most of their service is free
+    void placeStalledJobs(bool starved, instant now);
+    void placeStalledJob(job &job, bool starved, instant now);
     [[nodiscard]] bool isMostlyFree(const std::string &service) const;
 
     // scheduler_late_jobs.cpp: batch jobs that are too late to be of use
@@ -342,7 +345,8 @@
     instant m_lastPass{};
     instant m_nextLateJob{}; ///< no late job gets a place before
     std::size_t m_nextLateTurn = 0; ///< first of the younger late jobs that the next pass considers
-    std::size_t m_nextStandingTurn = 0; ///< the same of the jobs that stand still
+    std::size_t m_nextStalledTurn = 0; ///< first of the younger stalled jobs of the next pass
+    std::size_t m_workerSearches = 0; ///< looks at all workers since the start of the process
     std::string m_keptLateJob; ///< the last one that a worker was kept for
     instant m_lastSubmission{};
     instant m_lastStateLog{};
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -81,8 +81,9 @@
     resources usedByLongRunning; ///< part of used
     // Kept free for overdue long-running tasks; set in each scheduling pass.
     resources held; ///< from all other tasks
-    resources heldFromBatch; ///< from tasks that are not overdue themselves
-    std::string keptForJob; ///< only this job's tasks and overdue long-running ones may start here
+    resources heldFromBatch; ///< from tasks that are not overdue, see placement_terms
+    /// Only this job's tasks and overdue long-running ones may start here, see placement_terms.
+    std::string keptForJob;
     std::uint32_t trials = 0; ///< trial runs; while there is one, nothing else starts
     instant lastStart{}; ///< when the last run was ordered
     instant lastReport{}; ///< last one with the runs of this incarnation
@@ -105,7 +106,9 @@
     std::vector<job_failure> failedJobs;
     instant excludedUntil{};
     std::uint32_t exclusions = 0;
-    instant failuresExcludedAt{}; ///< begin of the last exclusion for failures
+    // The last exclusion for failures.
+    instant failureExclusionStart{};
+    instant failureExclusionEnd{};
     instant lastFailure{};
 
     // For log lines about exclusions.
@@ -115,12 +118,12 @@
     instant excludedSince{}; ///< valid if loggedExclusion is set
 
     [[nodiscard]] resources freeResources() const { return capacity - used; }
-    /// Whether the resources fit beside the runs and what is held from the task. \a overdue: it is
-    /// an overdue long-running task. A worker whose capacity has shrunk may have less than nothing
-    /// left of a resource that the task does not need.
-    [[nodiscard]] bool hasRoomFor(const resources &needed, bool overdue = false) const
+    /// Whether the resources fit beside the runs and what is held from the task; see
+    /// placement_terms::mayUseHeldFromBatch(). A worker whose capacity has shrunk may have less
+    /// than nothing left of a resource that the task does not need.
+    [[nodiscard]] bool hasRoomFor(const resources &needed, bool mayUseHeldFromBatch = false) const
     {
-        const resources kept = overdue ? held : held + heldFromBatch;
+        const resources kept = mayUseHeldFromBatch ? held : held + heldFromBatch;
         return needed.fitsWhereNeeded(freeResources() - kept);
     }
     /// What is missing beside the runs and what is held from all tasks, as the largest share of the
--- a/src/include/plantainpitch/sched/worker_health.h
+++ b/src/include/plantainpitch/sched/worker_health.h
@@ -15,9 +15,12 @@
 /// Resets the failure history after a run that was ordered at \a orderedAt has completed on the
 /// worker. A run that began during an exclusion for failures ends it.
 void recordSuccess(worker &worker, instant orderedAt, instant now);
-/// Whether a task with this many failures may start on the worker although it is excluded. The last
-/// attempt is not risked right after another task has failed there.
-bool mayTryExcluded(const worker &worker, std::uint32_t failures, std::uint32_t maxAttempts,
-                    instant now);
+/// Whether a run may start on the excluded worker to find out if it is sound again. Limits the
+/// attempts that a worker which goes on failing uses up.
+bool mayTry(const worker &worker, instant now);
+/// Whether this may be a run of a task with so many failures. The last attempt is not risked right
+/// after another task has failed there.
+bool mayTryWithFailures(const worker &worker, std::uint32_t failures, std::uint32_t maxAttempts,
+                        instant now);
 
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler_late_jobs.cpp
+++ b/src/libsched/scheduler_late_jobs.cpp
@@ -1,4 +1,3 @@
-#include "limit_in_turn.h"
 #include "plantainpitch/sched/scheduler.h"
 
 #include <algorithm>
@@ -58,8 +57,20 @@
         return std::tie(a->lastActive, a->received, a->request.id)
                < std::tie(b->lastActive, b->received, b->request.id);
     });
-    detail::limitInTurn(result, maxLateJobsPerPass, m_nextLateTurn,
-                        [this](const job *each) { return each->request.id == m_keptLateJob; });
+    if (result.size() <= maxLateJobsPerPass)
+        return result;
+    // The oldest ones, the one that a worker is kept for, and the others in turn, as the oldest
+    // ones may fit nowhere.
+    const auto others = result.begin() + maxLateJobsPerPass / 2;
+    m_nextLateTurn %= static_cast<std::size_t>(result.end() - others);
+    std::rotate(others, others + static_cast<std::ptrdiff_t>(m_nextLateTurn), result.end());
+    m_nextLateTurn += maxLateJobsPerPass / 2;
+    const auto kept = std::find_if(others, result.end(), [this](const job *each) {
+        return each->request.id == m_keptLateJob;
+    });
+    if (kept != result.end())
+        std::rotate(others, kept, kept + 1);
+    result.resize(maxLateJobsPerPass);
     return result;
 }
 
@@ -83,7 +94,6 @@
         const queue_config &queue = *queueOf(*job);
         placeSteps(*job, queue, { .starved = true }, now);
         if (job->isActive()) {
-            job->lastActive = now;
             m_nextLateJob = now + placeIntervalPerWorker / m_workers.size();
             return;
         }
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -17,6 +17,9 @@
 /// Waiting jobs per worker up to which the queue counts as short. In a longer queue, starved jobs
 /// would only take capacity from jobs that can still meet their objective.
 constexpr double shortQueueJobsPerWorker = 0.5;
+/// A job that has stood still for this long may soon start on an excluded worker. Tickets take a
+/// second or so.
+constexpr std::chrono::milliseconds excludedTicketsAfter{ 1'000 };
 /// Jobs considered per pass; bounds the duration of a pass.
 constexpr std::size_t maxJobsPerPass = 400;
 
@@ -70,6 +73,7 @@
     const step_spec &spec = job.stepSpec(step);
     const resources needed = reservation(spec);
     const std::string name = task_name{ job.request.id, occurrence.number, step, 0 }.stepText();
+    ++m_workerSearches;
     std::vector<worker *> result;
     std::vector<worker *> kept;
     std::vector<worker *> excluded;
@@ -83,7 +87,10 @@
                 !terms.overdue
                 && (!candidate->hasRoomFor(needed)
                     || (!candidate->keptForJob.empty() && candidate->keptForJob != job.request.id));
-        if (keptForOthers && !terms.mayUseKept)
+        if (keptForOthers && !terms.mayUseReserved)
+            continue;
+        const bool excludedNow = candidate->excludedUntil > now;
+        if (excludedNow && (!terms.mayUseExcluded || (!terms.overdue && !mayTry(*candidate, now))))
             continue;
         if (queue.needsTickets && !m_advice.ticketFor(name, key.id, now))
             continue;
@@ -95,14 +102,12 @@
             if (here >= spec.maxPerVm)
                 continue;
         }
-        if (candidate->excludedUntil > now)
+        if (excludedNow)
             excluded.push_back(candidate);
         else
             (keptForOthers ? kept : result).push_back(candidate);
     }
-    if (!terms.mayUseExcluded)
-        excluded.clear();
-    if (terms.together) {
+    if (terms.combineWorkers) {
         result.insert(result.end(), kept.begin(), kept.end());
         result.insert(result.end(), excluded.begin(), excluded.end());
         return result;
@@ -198,7 +203,7 @@
         if (!choice)
             continue; // the next task may need no trial, or have more attempts left
         start(job, occurrence, step, index, *choice, task.run + 1, now);
-        if (terms.starved)
+        if (terms.starved || terms.mayUseReserved)
             return;
         if (job.stepSpec(step).maxPerVm > 0)
             eligible = eligibleWorkers(job, queue, occurrence, step, terms, now);
@@ -216,14 +221,14 @@
         return task.suspected() ? chooseForSuspect(candidates, step, task, now)
                                 : m_placement.choose(candidates, step, task);
     };
-    const auto isRisky = [&](const worker *each) {
+    const auto isTooRisky = [&](const worker *each) {
         return each->excludedUntil > now
-               && !mayTryExcluded(*each, task.failures, queue.maxAttempts, now);
+               && !mayTryWithFailures(*each, task.failures, queue.maxAttempts, now);
     };
-    if (std::none_of(eligible.begin(), eligible.end(), isRisky))
+    if (std::none_of(eligible.begin(), eligible.end(), isTooRisky))
         return choose(eligible);
     std::vector<worker *> candidates = eligible;
-    std::erase_if(candidates, isRisky);
+    std::erase_if(candidates, isTooRisky);
     return choose(candidates);
 }
 
@@ -240,9 +245,9 @@
         return false; // members of the last run have not all ended
     std::vector<worker *> chosen = chooseForGang(job, queue, occurrence, step, terms, now);
     if (chosen.empty() && terms.mayUseExcluded) {
-        placement_terms allTogether = terms;
-        allTogether.together = true;
-        chosen = chooseForGang(job, queue, occurrence, step, allTogether, now);
+        placement_terms combined = terms;
+        combined.combineWorkers = true;
+        chosen = chooseForGang(job, queue, occurrence, step, combined, now);
     }
     std::uint32_t run = 0;
     for (const task &task : members.tasks)
@@ -268,6 +273,13 @@
                                           });
     if (suspect != members.tasks.end() && suspect->suspected())
         eligible = workersForSuspect(std::move(eligible), *suspect, now);
+    std::uint32_t failures = 0;
+    for (const task &member : members.tasks)
+        failures = std::max(failures, member.failures);
+    std::erase_if(eligible, [&](const worker *each) {
+        return each->excludedUntil > now
+               && !mayTryWithFailures(*each, failures, queue.maxAttempts, now);
+    });
     const bool waitsForRack = spec.sameRack && !terms.overdue
                               && now - job.lastActive < starvationThreshold
                               && fitsOneRack(queue.service, spec);
@@ -298,6 +310,17 @@
                        [&spec](const auto &rack) { return rack.second >= spec.count; });
 }
 
+/// Chooses an excluded or kept worker only if there is no other.
+worker *scheduler::chooseSoundFirst(const std::vector<worker *> &eligible, const step_spec &step,
+                                    const task &task) const
+{
+    std::vector<worker *> sound = eligible;
+    std::erase_if(sound, [this](const worker *each) {
+        return each->excludedUntil > m_lastPass || !each->keptForJob.empty();
+    });
+    return m_placement.choose(sound.empty() ? eligible : sound, step, task);
+}
+
 /// Chooses a worker for each member of the gang; empty if they do not all fit.
 std::vector<worker *> scheduler::planGang(const job &job, const occurrence &occurrence,
                                           std::uint32_t step, std::vector<worker *> eligible,
@@ -310,7 +333,7 @@
     std::map<const worker *, std::uint32_t> members;
     std::vector<worker *> chosen;
     for (std::size_t index = 0; index < tasks.size() && !eligible.empty(); ++index) {
-        worker *choice = m_placement.choose(eligible, spec, tasks[index]);
+        worker *choice = chooseSoundFirst(eligible, spec, tasks[index]);
         if (!choice)
             break;
         choice->reserve(nameOf(index), allocation);
@@ -345,8 +368,8 @@
     };
     std::vector<ranked> waiting;
     for (job *job : m_open) {
-        if (job->isActive())
-            job->lastActive = now;
+        if (!job->isActive() && !job->hasStartableTask())
+            job->lastActive = now; // waits for its time
         const queue_config *queue = queueOf(*job);
         if (queue && job->hasStartableTask())
             waiting.push_back(
@@ -358,7 +381,7 @@
         waiting.resize(maxJobsPerPass);
     const auto placeStarvedJobs = [&] {
         for (const ranked &entry : waiting) {
-            if (now - entry.target->lastActive >= starvationThreshold)
+            if (now - entry.target->lastActive >= starvationThreshold && !entry.target->isActive())
                 placeSteps(*entry.target, *entry.queue, { .starved = true }, now);
         }
     };
@@ -374,7 +397,7 @@
         placeSteps(*entry.target, *entry.queue, {}, now);
     if (queueIsShort && !draining)
         placeStarvedJobs();
-    placeStandingJobs(now);
+    placeStalledJobs(draining || queueIsShort, now);
     for (const ranked &entry : waiting) {
         if (now - entry.target->lastActive >= starvationThreshold && !entry.target->isActive())
             logStarvedJob(*entry.target, *entry.queue, now);
@@ -390,18 +413,19 @@
                 continue;
             const bool startable = job.dependenciesDone(occurrence, step);
             if (queue.needsTickets && (startable || dependenciesStarted(job, occurrence, step)))
-                requestTickets(job, queue, occurrence, step, terms.mayUseExcluded, now);
+                requestTickets(job, queue, occurrence, step,
+                               now - job.lastActive >= excludedTicketsAfter, now);
             if (startable)
                 placeStep(job, queue, occurrence, step, terms, now);
         }
     }
 }
 
-/// Has an agent ask which workers may run the step; a starved step may also need excluded workers.
+/// Has an agent ask which workers may run the step; some steps may also use excluded workers.
 /// The answer is not stored: a later owner asks again.
 void scheduler::requestTickets(const job &job, const queue_config &queue,
-                               const occurrence &occurrence, std::uint32_t step, bool starved,
-                               instant now)
+                               const occurrence &occurrence, std::uint32_t step,
+                               bool mayUseExcluded, instant now)
 {
     const std::string agent = m_advice.chooseAgent(m_connected);
     if (agent.empty())
@@ -411,7 +435,7 @@
     std::vector<std::string> withoutCapacity;
     for (const auto &[key, candidate] : m_workers) {
         const bool excluded = candidate->excludedUntil > now;
-        if (!mayRun(*candidate, queue, spec) || (excluded && !starved))
+        if (!mayRun(*candidate, queue, spec) || (excluded && !mayUseExcluded))
             continue;
         const bool hasCapacity = candidate->hasRoomFor(reservation(spec))
                                  && m_placement.admits(*candidate, spec, false);
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -95,7 +95,10 @@
     const auto finish = [&location](task &task) {
         if (task.phase != task_phase::active && task.phase != task_phase::waiting)
             return;
-        --(task.phase == task_phase::active ? location.step->active : location.step->waiting);
+        if (task.phase == task_phase::active)
+            --location.step->active;
+        else
+            --location.step->waiting;
         ++location.step->done;
         task.phase = task_phase::done;
         task.checkpoint.clear();
@@ -218,9 +221,11 @@
     const bool current = location.taskState && location.taskState->phase == task_phase::active
                          && location.taskState->run == end.run
                          && location.taskState->place == worker.key;
-    logRunEnd(worker, end, location, current, now);
-    if (completedBeforeItsLoss(worker, end, location)) {
+    const bool completedBefore = completedBeforeItsLoss(worker, end, location);
+    logRunEnd(worker, end, location, current || completedBefore, now);
+    if (completedBefore) {
         location.parentJob->begun = true;
+        location.parentJob->lastActive = now;
         if (location.taskState->suspected())
             clearSuspicion(location, worker, end.task);
         taskDone(location);
@@ -229,6 +234,7 @@
     if (!current)
         return;
     location.parentJob->begun = true;
+    location.parentJob->lastActive = now;
     location.taskState->endWait();
     // A run that ended in another way may not have got to work.
     const bool endedByItself = outcome == run_outcome::done || outcome == run_outcome::failed;
--- /dev/null
+++ b/src/libsched/scheduler_stalled_jobs.cpp
@@ -0,0 +1,97 @@
+#include "plantainpitch/sched/scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace plantainpitch::sched {
+
+namespace {
+
+/// A job stands still if none of its tasks has been active for this long though one could start.
+/// Work that waits for three seconds beside free capacity counts as lost; the rest of that time is
+/// for the next pass, the order and the start.
+constexpr std::chrono::milliseconds stalledAfter{ 2'000 };
+/// While more of a service is in use, its jobs wait for capacity rather than for a way around
+/// exclusions and kept workers.
+constexpr double maxShareInUse = 0.5;
+/// Looks at all workers per pass; bounds its duration. Half of them are for the jobs that have
+/// stood still longest, the others for the younger ones in turn, as the oldest may fit nowhere.
+constexpr std::size_t maxSearchesPerPass = 100;
+
+double share(std::int64_t amount, std::int64_t total)
+{
+    return static_cast<double>(amount) / static_cast<double>(std::max<std::int64_t>(total, 1));
+}
+
+} // namespace
+
+/// Whether less than half of what the service's workers have is reserved or used by filling tasks.
+bool scheduler::isMostlyFree(const std::string &service) const
+{
+    resources used;
+    resources capacity;
+    for (const auto &[key, worker] : m_workers) {
+        if (worker->service != service)
+            continue;
+        used = used + worker->used;
+        used.cpu += worker->fillingCpu;
+        capacity = capacity + worker->capacity;
+    }
+    return share(used.cpu, capacity.cpu) < maxShareInUse
+           && share(used.memoryMb, capacity.memoryMb) < maxShareInUse
+           && share(used.accelerators, capacity.accelerators) < maxShareInUse;
+}
+
+/// Starts a task of the jobs that stand still in a mostly free service, if need be on a worker that
+/// other work is kept from. Exclusions protect the attempts of tasks, and kept workers late jobs; a
+/// job must not wait for their ends for longer. \a starved: little headroom is enough for the
+/// tasks.
+void scheduler::placeStalledJobs(bool starved, instant now)
+{
+    std::vector<job *> stalled;
+    std::map<std::string, bool> mostlyFree;
+    for (job *job : m_open) {
+        const queue_config *queue = queueOf(*job);
+        if (!queue || now - job->lastActive < stalledAfter || job->isActive()
+            || !job->hasStartableTask())
+            continue;
+        const auto [found, added] = mostlyFree.try_emplace(queue->service);
+        if (added)
+            found->second = isMostlyFree(queue->service);
+        if (found->second)
+            stalled.push_back(job);
+    }
+    std::sort(stalled.begin(), stalled.end(), [](const job *a, const job *b) {
+        return std::tie(a->lastActive, a->request.id) < std::tie(b->lastActive, b->request.id);
+    });
+    const std::size_t searchesBefore = m_workerSearches;
+    const auto placeUpTo = [&](auto from, std::size_t maxSearches) {
+        while (from != stalled.end() && m_workerSearches - searchesBefore < maxSearches)
+            placeStalledJob(**from++, starved, now);
+        return from;
+    };
+    const auto others = placeUpTo(stalled.begin(), maxSearchesPerPass / 2);
+    if (others == stalled.end())
+        return;
+    m_nextStalledTurn %= static_cast<std::size_t>(stalled.end() - others);
+    std::rotate(others, others + static_cast<std::ptrdiff_t>(m_nextStalledTurn), stalled.end());
+    m_nextStalledTurn += static_cast<std::size_t>(placeUpTo(others, maxSearchesPerPass) - others);
+}
+
+void scheduler::placeStalledJob(job &job, bool starved, instant now)
+{
+    const queue_config &queue = *queueOf(job);
+    // Earlier ones in this pass may have filled the service.
+    if (!isMostlyFree(queue.service))
+        return;
+    placeSteps(job, queue, { .starved = starved, .mayUseExcluded = true, .mayUseReserved = true },
+               now);
+    if (!job.isActive())
+        return;
+    using std::chrono::milliseconds;
+    const auto stalledFor = std::chrono::duration_cast<milliseconds>(now - job.lastActive);
+    log(log_level::info, "stalled_job_placed",
+        { { "job", job.request.id }, { "stalled_ms", std::to_string(stalledFor.count()) } });
+}
+
+} // namespace plantainpitch::sched
--- a/src/libsched/scheduler_standing_jobs_test.cpp
+++ b/src/libsched/scheduler_stalled_jobs_test.cpp
@@ -54,7 +54,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(scheduler_standing_jobs)
+BOOST_AUTO_TEST_SUITE(scheduler_stalled_jobs)
 
 // Guards against a job that stands still in an empty fleet because all workers are excluded for
 // failures that are over (LOST at the end of a day).
@@ -70,19 +70,74 @@
     requireNoViolations(model);
 }
 
-// Guards against a job that fails because workers that fail everything get all its attempts.
-BOOST_AUTO_TEST_CASE(workersThatGoOnFailingDoNotGetTheLastAttemptsOfAJob)
+// Guards against jobs that fail because workers that go on failing use up all their attempts.
+BOOST_AUTO_TEST_CASE(excludedWorkersThatGoOnFailingFailNoJobs)
 {
-    fleet_model model(4);
+    fleet_model model(8);
     model.run(1'000);
     excludeAllForFailures(model);
     for (auto &node : model.nodes)
         node.worker.failsAll = true;
-    model.send(model.submission("late", 1, 500));
-    model.run(7'000);
+    for (int i = 0; i < 100; ++i)
+        model.send(model.submission("late-" + std::to_string(i), 1, 200));
+    model.run(12'000);
     for (auto &node : model.nodes)
         node.worker.failsAll = false;
-    BOOST_TEST(model.runUntil("late", job_state::completed, 10'000));
+    int failed = 0;
+    for (int i = 0; i < 100; ++i)
+        failed += model.shown("late-" + std::to_string(i)) == job_state::failed ? 1 : 0;
+    BOOST_TEST(failed == 0);
+}
+
+// Guards against the last attempt of a gang on a worker on which others have just failed.
+BOOST_AUTO_TEST_CASE(theLastAttemptOfAGangWaitsUntilTheFailuresOnAWorkerLieBack)
+{
+    fleet_model model(2);
+    model.config.queues["batch"].maxAttempts = 1;
+    model.newOwner();
+    model.run(1'000);
+    excludeAllForFailures(model);
+    model.run(400); // a failing run may have just begun
+    const std::int64_t lastFailureMs = model.timeMs;
+    auto call = model.submission("gang", 2, 2'500);
+    call.submitted->spec->steps[0]->gang = true;
+    model.send(call);
+    BOOST_TEST(lastFailureMs + waitUntilRunning(model, "gang", 30'000) >= lastFailureMs + 2'000);
+    BOOST_TEST(model.runUntil("gang", job_state::completed, 5'000));
+}
+
+// Guards against a job that waits anew after each start that a worker refuses.
+BOOST_AUTO_TEST_CASE(aStalledJobThatIsRefusedByOneWorkerStartsOnAnother)
+{
+    fleet_model model(4);
+    model.run(1'000);
+    excludeAllForFailures(model);
+    BOOST_REQUIRE(excludedWorkers(model, std::chrono::seconds(5)) == 4U);
+    model.run(1'500);
+    model.nodes[0].worker.refusesStarts = true;
+    model.nodes[1].worker.refusesStarts = true;
+    model.send(model.submission("late", 1, 500));
+    BOOST_TEST(waitUntilRunning(model, "late", 30'000) < maxStandstillMs);
+}
+
+// Guards against a scheduled job that counts as stalled when it falls due, because it has not run
+// since its last time.
+BOOST_AUTO_TEST_CASE(aScheduledJobThatFallsDueDoesNotUseExcludedWorkersAtOnce)
+{
+    fleet_model model(2);
+    model.run(1'000);
+    auto call = model.submission("daily", 1, 500);
+    auto &spec = *call.submitted->spec;
+    spec.occurrences = 2;
+    spec.intervalMs = 60'000;
+    spec.firstRunMs = 1'700'000'000'000 + model.timeMs;
+    model.send(call);
+    model.run(10'000);
+    BOOST_REQUIRE(model.starts.count("daily.0.0.0 1") == 1U);
+    excludeAllForFailures(model);
+    BOOST_REQUIRE(excludedWorkers(model, std::chrono::seconds(6)) == 2U);
+    model.run(spec.firstRunMs + 60'000 - 1'700'000'000'000 - model.timeMs + 1'000);
+    BOOST_TEST(model.starts.count("daily.1.0.0 1") == 0U);
 }
 
 // Guards against a job that waits for the only worker that suits it, because that worker is kept
@@ -114,12 +169,13 @@
 }
 
 // Guards against many jobs that fit nowhere and are considered instead of one that does.
-BOOST_AUTO_TEST_CASE(manyJobsThatFitNowhereDoNotKeepAStandingJobWaiting)
+BOOST_AUTO_TEST_CASE(manyJobsThatFitNowhereDoNotKeepAStalledJobWaiting)
 {
     fleet_model model(4);
     model.run(1'000);
     excludeAllForFailures(model);
-    for (int i = 0; i < 150; ++i)
+    BOOST_REQUIRE(excludedWorkers(model, std::chrono::seconds(5)) == 4U);
+    for (int i = 0; i < 1'500; ++i)
         model.send(model.submission("too-large-" + std::to_string(i), 1, 30'000));
     model.run(10);
     model.send(model.submission("small", 1, 500));
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -175,6 +175,7 @@
             continue;
         }
         recordCheckpoint(location, each->checkpoint);
+        location.parentJob->lastActive = now;
         if (!location.taskState->reported) {
             location.taskState->reported = true;
             location.taskState->runningSince = now;
--- a/src/libsched/worker_health.cpp
+++ b/src/libsched/worker_health.cpp
@@ -14,6 +14,8 @@
 /// and single failures of services would add up over hours. Longer than a worker that fails
 /// everything needs to fail again after an exclusion.
 constexpr std::chrono::seconds evidenceValidity{ 30 };
+/// Least time from a start or failure on an excluded worker to the next start there.
+constexpr std::chrono::milliseconds tryInterval{ 1'000 };
 /// An excluded worker gets the last attempt of a task only if nothing has failed there for this
 /// long. Shorter than the three seconds that a job may stand still beside free capacity.
 constexpr std::chrono::milliseconds lastAttemptPause{ 2'500 };
@@ -43,7 +45,8 @@
         return;
     worker.excludedUntil = now + firstExclusion * (1U << std::min(worker.exclusions, maxDoublings));
     ++worker.exclusions;
-    worker.failuresExcludedAt = now;
+    worker.failureExclusionStart = now;
+    worker.failureExclusionEnd = worker.excludedUntil;
     worker.exclusionReason = "failures";
     worker.exclusionCause.clear();
     for (const job_failure &each : worker.failedJobs)
@@ -58,12 +61,18 @@
 {
     worker.failedJobs.clear();
     worker.exclusions = 0;
-    if (worker.exclusionReason == "failures" && orderedAt >= worker.failuresExcludedAt)
+    const bool excludedForFailures = worker.excludedUntil == worker.failureExclusionEnd;
+    if (excludedForFailures && orderedAt >= worker.failureExclusionStart)
         worker.excludedUntil = std::min(worker.excludedUntil, now);
 }
 
-bool mayTryExcluded(const worker &worker, std::uint32_t failures, std::uint32_t maxAttempts,
-                    instant now)
+bool mayTry(const worker &worker, instant now)
+{
+    return now - std::max(worker.lastStart, worker.lastFailure) >= tryInterval;
+}
+
+bool mayTryWithFailures(const worker &worker, std::uint32_t failures, std::uint32_t maxAttempts,
+                        instant now)
 {
     return failures + 1 < maxAttempts || now - worker.lastFailure >= lastAttemptPause;
 }
--- a/src/libsched/worker_health_test.cpp
+++ b/src/libsched/worker_health_test.cpp
@@ -79,9 +79,9 @@
 {
     sched::worker worker;
     const instant last = failThreeJobs(worker, instant(seconds(100)), seconds(1));
-    BOOST_TEST(mayTryExcluded(worker, 0, 2, last));
-    BOOST_TEST(!mayTryExcluded(worker, 1, 2, last + seconds(2)));
-    BOOST_TEST(mayTryExcluded(worker, 1, 2, last + seconds(3)));
+    BOOST_TEST(mayTryWithFailures(worker, 0, 2, last));
+    BOOST_TEST(!mayTryWithFailures(worker, 1, 2, last + seconds(2)));
+    BOOST_TEST(mayTryWithFailures(worker, 1, 2, last + seconds(3)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
