--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -171,6 +171,7 @@
 
     // scheduler_placing.cpp
     void schedulePass(instant now);
+    [[nodiscard]] static bool isStarved(const job &job, instant now);
     void placeSteps(job &job, const queue_config &queue, const placement_terms &terms, instant now);
     void placeStep(job &job, const queue_config &queue, occurrence &occurrence, std::uint32_t step,
                    const placement_terms &terms, instant now);
--- a/src/libsched/scheduler_long_running.cpp
+++ b/src/libsched/scheduler_long_running.cpp
@@ -27,29 +27,6 @@
 /// Tasks of a step for which room is held in one pass; each costs a look at all workers.
 constexpr std::size_t maxHoldsPerStep = 32;
 
-/// Calls \a visit with each task of a long-running step that could run, as far as its job goes, and
-/// is not on a worker.
-template <typename Visit>
-void visitWaitingLongRunning(const std::vector<job *> &jobs, const Visit &visit)
-{
-    for (job *job : jobs) {
-        if (!job->isLongRunning())
-            continue;
-        for (occurrence &occurrence : job->occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const step_run &state = occurrence.steps[step];
-                if (!job->stepSpec(step).longRunning || state.waiting == 0
-                    || !job->dependenciesDone(occurrence, step))
-                    continue;
-                for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
-                    if (state.tasks[index].phase == task_phase::waiting)
-                        visit(*job, occurrence, step, index);
-                }
-            }
-        }
-    }
-}
-
 } // namespace
 
 /// Treats the job's waiting long-running tasks as overdue after a takeover: how long they have
@@ -125,21 +102,6 @@
     return result;
 }
 
-std::vector<set_gauge> scheduler::gauges(instant now) const
-{
-    std::size_t waiting = 0;
-    duration longestWait{};
-    visitWaitingLongRunning(m_open, [&](const job & /*job*/, const occurrence &occurrence,
-                                        std::uint32_t step, std::uint32_t index) {
-        ++waiting;
-        const task &task = occurrence.steps[step].tasks[index];
-        longestWait = std::max(longestWait, now - task.waitingSince.value_or(now));
-    });
-    const std::chrono::duration<double> longestWaitSeconds = longestWait;
-    return { { .name = "long_running_waiting", .value = static_cast<double>(waiting) },
-             { .name = "long_running_longest_wait_seconds", .value = longestWaitSeconds.count() } };
-}
-
 /// Places overdue long-running tasks before all other work. For those that fit nowhere, room is
 /// held, because smaller tasks would otherwise take each piece of capacity that becomes free.
 void scheduler::placeOverdueLongRunning(instant now)
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -376,11 +376,18 @@
         placeStarvedJobs();
     placeStandingJobs(now);
     for (const ranked &entry : waiting) {
-        if (now - entry.target->lastActive >= starvationThreshold && !entry.target->isActive())
+        if (isStarved(*entry.target, now))
             logStarvedJob(*entry.target, *entry.queue, now);
     }
 }
 
+/// Whether nothing of the job has run for so long that it counts as starved, if one of its tasks
+/// could start.
+bool scheduler::isStarved(const job &job, instant now)
+{
+    return now - job.lastActive >= starvationThreshold && !job.isActive();
+}
+
 void scheduler::placeSteps(job &job, const queue_config &queue, const placement_terms &terms,
                            instant now)
 {
