Say in job_starved how much of the service is in use

A job that has no place in a full service waits for capacity; in a mostly free one it stands still and may use kept and excluded workers. The line job_starved did not tell the two apart.

Change: the line has service_in_use_percent, the largest share of processors, memory and accelerators that is reserved or used by filling tasks.

theLineOfAStarvedJobSaysHowMuchOfItsServiceIsInUse is new.

--- a/src/libsched/scheduler_log.cpp
+++ b/src/libsched/scheduler_log.cpp
@@ -1,4 +1,5 @@
 #include "plantainpitch/sched/scheduler.h"
+#include "share_in_use.h"
 
 #include <algorithm>
 
@@ -20,6 +21,31 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
 }
 
+std::vector<std::pair<std::string, std::string>>
+obstacleFields(const std::string &name, duration waited, const placement_obstacles &obstacles,
+               const step_spec &step)
+{
+    const resources needed = reservation(step);
+    return { { "task", name },
+             { "waited_ms", millisecondsText(waited) },
+             { "needs_cpu", std::to_string(needed.cpu) },
+             { "needs_memory_mb", std::to_string(needed.memoryMb) },
+             { "workers", std::to_string(obstacles.workers) },
+             { "not_connected", std::to_string(obstacles.notConnected) },
+             { "not_ready", std::to_string(obstacles.notReady) },
+             { "unresponsive", std::to_string(obstacles.unresponsive) },
+             { "unsuitable", std::to_string(obstacles.unsuitable) },
+             { "trial", std::to_string(obstacles.trial) },
+             { "vm_limit", std::to_string(obstacles.vmLimit) },
+             { "no_ticket", std::to_string(obstacles.noTicket) },
+             { "short_of_cpu", std::to_string(obstacles.cpu) },
+             { "short_of_memory", std::to_string(obstacles.memory) },
+             { "short_of_accelerators", std::to_string(obstacles.accelerators) },
+             { "held", std::to_string(obstacles.held) },
+             { "not_admitted", std::to_string(obstacles.notAdmitted) },
+             { "excluded", std::to_string(obstacles.excluded) } };
+}
+
 } // namespace
 
 /// Counts the workers by what keeps a task of the step from them.
@@ -73,27 +99,7 @@
 void scheduler::logObstacles(const char *event, const std::string &name, duration waited,
                              const placement_obstacles &obstacles, const step_spec &step)
 {
-    const resources needed = reservation(step);
-    log(log_level::warning, event,
-        { { "task", name },
-          { "waited_ms", millisecondsText(waited) },
-          { "needs_cpu", std::to_string(needed.cpu) },
-          { "needs_memory_mb", std::to_string(needed.memoryMb) },
-          { "workers", std::to_string(obstacles.workers) },
-          { "not_connected", std::to_string(obstacles.notConnected) },
-          { "not_ready", std::to_string(obstacles.notReady) },
-          { "unresponsive", std::to_string(obstacles.unresponsive) },
-          { "unsuitable", std::to_string(obstacles.unsuitable) },
-          { "trial", std::to_string(obstacles.trial) },
-          { "vm_limit", std::to_string(obstacles.vmLimit) },
-          { "no_ticket", std::to_string(obstacles.noTicket) },
-          { "short_of_cpu", std::to_string(obstacles.cpu) },
-          { "short_of_memory", std::to_string(obstacles.memory) },
-          { "short_of_accelerators", std::to_string(obstacles.accelerators) },
-          { "held", std::to_string(obstacles.held) },
-          { "not_admitted", std::to_string(obstacles.notAdmitted) },
-          { "excluded", std::to_string(obstacles.excluded) } },
-        budgetOf(step));
+    log(log_level::warning, event, obstacleFields(name, waited, obstacles, step), budgetOf(step));
 }
 
 /// Logs why an overdue long-running task has no place, if a line is due. \a linesInPass counts the
@@ -132,8 +138,14 @@
                                   static_cast<std::uint32_t>(first - tasks.begin()) };
             m_nextStarvedLog = now + starvedLogInterval;
             job.nextStarvedLog = now + waitingLogInterval;
-            logObstacles("job_starved", name.text(), now - job.lastActive,
-                         obstaclesTo(job, queue, occurrence, step, now), spec);
+            auto fields = obstacleFields(name.text(), now - job.lastActive,
+                                         obstaclesTo(job, queue, occurrence, step, now), spec);
+            // Rounded down, so that a value below 50 means that the job may count as standing
+            // still.
+            const auto percent =
+                    static_cast<std::int64_t>(100 * detail::shareInUse(m_workers, queue.service));
+            fields.emplace_back("service_in_use_percent", std::to_string(percent));
+            log(log_level::warning, "job_starved", std::move(fields), budgetOf(spec));
             return;
         }
     }
--- a/src/libsched/scheduler_log_test.cpp
+++ b/src/libsched/scheduler_log_test.cpp
@@ -149,6 +149,23 @@
     requireNoViolations(fleet.model);
 }
 
+// Guards against a log from which it cannot be told whether a starved job waits in a full service
+// or stands still in a mostly free one (issue 28).
+BOOST_AUTO_TEST_CASE(theLineOfAStarvedJobSaysHowMuchOfItsServiceIsInUse)
+{
+    logged_fleet fleet(2);
+    BOOST_REQUIRE(fleet.model.owner->workers().begin()->second->capacity.cpu == 4'000);
+    fleet.model.send(fleet.model.submission("too-large", 1, 30'000));
+    fleet.model.run(4'000);
+    fleet.startService("service", 2, 3'000);
+    fleet.model.run(10'000);
+    const auto lines = fleet.lines("job_starved", "too-large.0.0.0");
+    BOOST_REQUIRE(lines.size() >= 2U);
+    BOOST_TEST(field(lines.front(), "service_in_use_percent") == "0");
+    BOOST_TEST(field(lines.back(), "service_in_use_percent") == "75");
+    requireNoViolations(fleet.model);
+}
+
 // Guards against a worker that is excluded for failures without a line, or whose readmission is
 // not to be seen.
 BOOST_AUTO_TEST_CASE(anExclusionForFailuresIsLoggedAtItsStartAndItsEnd)
--- /dev/null
+++ b/src/libsched/share_in_use.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "plantainpitch/sched/worker.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace plantainpitch::sched::detail {
+
+/// The largest share, over the kinds of resources, of what the service's workers have that is
+/// reserved or used by filling tasks; 1 is all of it.
+[[nodiscard]] double shareInUse(const std::map<worker_key, std::unique_ptr<worker>> &workers,
+                                const std::string &service);
+
+} // namespace plantainpitch::sched::detail
