Store which worker had the last run of a task that waits

Callers saw work done twice (TWICE) if the owner changed after it had taken a run as lost and before the end of that run arrived.

Cause: stored progress named the worker of a task only while a run was active. The next owner could not tell that the end belongs to the last run, ignored it and started the task again.

Change: the worker of the last run is stored for waiting tasks too.

aNewOwnerAcceptsTheEndOfARunThatTheLastOneTookAsLost failed before (one start too many) and passes.

--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -251,9 +251,12 @@
                 stored->crashes = task.crashes;
                 stored->crashedRun = task.crashedRun;
                 stored->conclusiveCrashes = task.conclusiveCrashes;
-                if (active) {
+                // The end of a waiting task's last run may still arrive.
+                if (active || task.phase == task_phase::waiting) {
                     stored->worker = task.place.id;
                     stored->workerStartMs = task.place.startMs;
+                }
+                if (active) {
                     const auto found = m_workers.find(task.place);
                     if (found != m_workers.end())
                         stored->node = found->second->agent;
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -12,6 +12,22 @@
 /// Long enough for the leases of a lost worker to end and its tasks to run elsewhere.
 constexpr std::int64_t afterLeaseMs = 12'000;
 
+/// Runs task j1.0.0.0 on node-0, the only one that may run it, and cuts the node off until the
+/// owner has taken the run as lost. The run has completed meanwhile.
+void loseTheWorkerOfACompletedTask(fleet_model &model)
+{
+    model.nodes[0].worker.info.labels.push_back("x");
+    model.run(1'000);
+    auto call = model.submission("j1", 1, 500, 2);
+    call.submitted->spec->steps[0]->requiredLabel = "x";
+    model.send(call);
+    model.run(300);
+    BOOST_REQUIRE(model.nodes[0].worker.running.count("j1.0.0.0") == 1U);
+    model.nodes[0].partitioned = true;
+    model.run(9'000);
+    BOOST_REQUIRE(model.owner->findJob("j1")->occurrences[0].steps[0].waiting == 1U);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(scheduler)
@@ -209,15 +225,21 @@
 BOOST_AUTO_TEST_CASE(aTaskThatCompletedBeforeItsWorkerWasTakenAsLostIsNotStartedAgain)
 {
     fleet_model model(3);
-    model.nodes[0].worker.info.labels.push_back("x");
-    model.run(1'000);
-    auto call = model.submission("j1", 1, 500, 2);
-    call.submitted->spec->steps[0]->requiredLabel = "x";
-    model.send(call);
-    model.run(300);
-    BOOST_REQUIRE(model.nodes[0].worker.running.count("j1.0.0.0") == 1U);
-    model.nodes[0].partitioned = true;
-    model.run(9'000);
+    loseTheWorkerOfACompletedTask(model);
+    model.nodes[0].partitioned = false;
+    BOOST_TEST(model.runUntil("j1", job_state::completed, 5'000));
+    BOOST_TEST(model.starts.count("j1.0.0.0 2") == 0U);
+    requireNoViolations(model);
+}
+
+// Guards against work that is done twice after a change of owner: the new one did not know which
+// worker had the last run of a task that waits, and ignored its end.
+BOOST_AUTO_TEST_CASE(aNewOwnerAcceptsTheEndOfARunThatTheLastOneTookAsLost)
+{
+    fleet_model model(3);
+    loseTheWorkerOfACompletedTask(model);
+    model.newOwner();
+    model.run(200);
     BOOST_REQUIRE(model.owner->findJob("j1")->occurrences[0].steps[0].waiting == 1U);
     model.nodes[0].partitioned = false;
     BOOST_TEST(model.runUntil("j1", job_state::completed, 5'000));
