Test ends after a loss with a restarted agent and with gangs

Both cases work: the worker lists its ends again to a new agent process, and the end of one member of a gang completes those that wait. Neither had a test. The worker's entry is removed and added again in all of these tests.

--- a/src/libsched/scheduler_gang_test.cpp
+++ b/src/libsched/scheduler_gang_test.cpp
@@ -193,4 +193,30 @@
     test::requireNoViolations(model);
 }
 
+// Guards against a gang that is done twice: all its workers were taken as lost before the ends of
+// its members were known.
+BOOST_AUTO_TEST_CASE(aGangThatCompletedBeforeItsWorkersWereTakenAsLostIsNotStartedAgain)
+{
+    fleet_model model(5);
+    for (std::size_t i = 0; i < 2; ++i)
+        model.nodes[i].worker.info.labels.push_back("x");
+    model.run(1'000);
+    auto call = gang(model, "g", 2, 500);
+    call.submitted->spec->steps[0]->requiredLabel = "x";
+    call.submitted->spec->steps[0]->maxPerVm = 1;
+    model.send(call);
+    model.run(300);
+    BOOST_REQUIRE(startsOf(model, "g") == 2U);
+    model.nodes[0].partitioned = true;
+    model.nodes[1].partitioned = true;
+    model.run(9'000);
+    BOOST_REQUIRE(model.owner->findJob("g")->occurrences[0].steps[0].waiting == 2U);
+    model.nodes[1].partitioned = false; // the end of one member completes all
+    BOOST_TEST(model.runUntil("g", job_state::completed, 5'000));
+    model.nodes[0].partitioned = false;
+    model.run(3'000);
+    BOOST_TEST(startsOf(model, "g") == 2U);
+    test::requireNoViolations(model);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -247,6 +247,19 @@
     requireNoViolations(model);
 }
 
+// Guards against ends that are lost with the agent's process after their worker was taken as lost.
+BOOST_AUTO_TEST_CASE(aRestartedAgentReportsTheEndOfARunThatWasTakenAsLost)
+{
+    fleet_model model(3);
+    loseTheWorkerOfACompletedTask(model);
+    model.restartAgent(model.nodes[0]);
+    model.run(2'000);
+    model.nodes[0].partitioned = false;
+    BOOST_TEST(model.runUntil("j1", job_state::completed, 5'000));
+    BOOST_TEST(model.starts.count("j1.0.0.0 2") == 0U);
+    requireNoViolations(model);
+}
+
 BOOST_AUTO_TEST_CASE(tasksOfACrashedWorkerStartElsewhereAtOnce)
 {
     fleet_model model(3);
