Keep the entry of a worker whose agent is connected

A worker got no tasks, and the ends that it listed were ignored, until its agent opened a new connection.

Cause: an agent names its worker once on a connection. If the owner granted no lease for that report, because it had just been suspended and the store had not confirmed it, it removed the worker at its next tick, before the first listing.

Change: runs are taken as lost as before, but the entry stays while its agent is connected.

aWorkerThatIsAnnouncedJustAfterASuspensionStaysKnown failed before and passes.

--- a/src/libsched/scheduler_suspension_test.cpp
+++ b/src/libsched/scheduler_suspension_test.cpp
@@ -59,4 +59,24 @@
     BOOST_TEST(grants(model));
 }
 
+// Guards against a worker that stays unknown: its entry was removed between the first report of its
+// agent, which names the worker and got no lease, and the first listing. Later reports do not name
+// it, so that it got no tasks and the ends that it listed were ignored.
+BOOST_AUTO_TEST_CASE(aWorkerThatIsAnnouncedJustAfterASuspensionStaysKnown)
+{
+    fleet_model model(3);
+    model.run(2'000);
+    model.storeUp = false; // nothing confirms the ownership
+    model.timeMs += 7'200;
+    model.restartAgent(model.nodes[0]);
+    model.run(1'000);
+    model.storeUp = true;
+    model.run(3'000);
+    const sched::worker_key key{ model.nodes[0].worker.info.id,
+                                 model.nodes[0].worker.info.startMs };
+    const auto found = model.owner->workers().find(key);
+    BOOST_REQUIRE((found != model.owner->workers().end()));
+    BOOST_TEST(found->second->connected);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -305,9 +305,16 @@
             ++each;
             continue;
         }
-        requeueLostRuns(worker, "leases_ended");
+        if (!worker.runs.empty())
+            requeueLostRuns(worker, "leases_ended");
         const auto byNode = m_workerByNode.find(worker.agent);
-        if (byNode != m_workerByNode.end() && byNode->second == &worker)
+        const bool current = byNode != m_workerByNode.end() && byNode->second == &worker;
+        // An agent names its worker only once on a connection, and its first listing may be due.
+        if (current && m_connected.count(worker.agent) > 0) {
+            ++each;
+            continue;
+        }
+        if (current)
             m_workerByNode.erase(byNode);
         each = m_workers.erase(each);
     }
