Let no crashing task of the soak complete on a busy machine

Runs 1 and 2 crashed their workers, run 3 ended as done after 516 ms without a crash, nine seconds after the last fault.

Cause, inferred: the stand-in for a worker starts the timer of the crash, and the start of a thread waits until the thread runs. If that takes longer than the task, its run ends as done before its crash is due. All four runs on that worker ended late at the same moment, those on other workers did not.

Change: a run that is to crash its worker does not end by its own work.

--- a/testsuite/soak/worker.py
+++ b/testsuite/soak/worker.py
@@ -223,7 +223,7 @@
     def _percent(self, run):
         if run.work_s == float("inf"):
             return 100
-        return int(100 * (run.work_s - run.left_s) / run.work_s)
+        return min(100, int(100 * (run.work_s - run.left_s) / run.work_s))
 
     def _figure(self, run):
         spec = self._plan(run.task)["step"]
@@ -252,7 +252,7 @@
                 run.checkpoint = str(int(done_s * 1000))
             if lapsed:
                 self._end(run, "lapsed")
-            elif run.left_s <= 0:
+            elif run.left_s <= 0 and plan["crash_after_s"] is None:
                 self._end(run, "failed" if plan["fails"](run.number) else "done")
             elif run.stop_at is not None and now >= run.stop_at:
                 self._end(run, "stopped")
