Confirm ends to a worker that was taken as lost meanwhile

Workers listed ends again and again that the owner had stored; an end counts as taken note of only when it is confirmed.

Cause: if the confirmation waited for the store and the worker was taken as lost before it arrived, the agent ignored it. The owner confirms ends only when it hears of new ones, so a worker that got no new work kept the old ones.

Change: a confirmation counts for its incarnation, whether the worker is taken as lost or not. Stops and starts are handled as before.

anEndIsConfirmedToAWorkerThatWasTakenAsLostMeanwhile failed before and passes.

--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -141,11 +141,13 @@
     if (orders.number == 0)
         return;
     m_ordersSeen = orders.number;
-    const bool current = m_worker && orders.workerStartMs == m_worker->startMs && !m_lapsed;
-    if (current && orders.endsNoted > m_endsNoted) {
+    const bool sameIncarnation = m_worker && orders.workerStartMs == m_worker->startMs;
+    // Its ends outlast its runs.
+    if (sameIncarnation && orders.endsNoted > m_endsNoted) {
         m_endsNoted = orders.endsNoted;
         m_ends.erase(m_ends.begin(), m_ends.upper_bound(m_endsNoted));
     }
+    const bool current = sameIncarnation && !m_lapsed;
     for (const auto &stop : orders.stops) {
         if (current)
             stopRun({ stop->task, stop->run }, now);
--- a/src/libsched/scheduler_test.cpp
+++ b/src/libsched/scheduler_test.cpp
@@ -260,6 +260,29 @@
     requireNoViolations(model);
 }
 
+// Guards against an end that is never confirmed to its worker: the confirmation waited for the
+// store and arrived while the worker was taken as lost, and the next came only with another end.
+BOOST_AUTO_TEST_CASE(anEndIsConfirmedToAWorkerThatWasTakenAsLostMeanwhile)
+{
+    fleet_model model(1);
+    model.run(1'000);
+    model.send(model.submission("a", 1));
+    model.run(300);
+    model.storeUp = false;
+    model.run(1'000); // the task ends and the owner hears of it
+    auto &worker = model.nodes[0].worker;
+    BOOST_REQUIRE(worker.ended.size() == 1U);
+    worker.up = false;
+    model.run(1'000);
+    model.storeUp = true;
+    model.run(200);
+    worker.up = true; // the same incarnation
+    BOOST_TEST(model.runUntil("a", job_state::completed, 2'000));
+    model.run(2'000);
+    BOOST_TEST(worker.ended.empty());
+    requireNoViolations(model);
+}
+
 BOOST_AUTO_TEST_CASE(tasksOfACrashedWorkerStartElsewhereAtOnce)
 {
     fleet_model model(3);
