Take the runs of a vanished worker as lost after a restart of its agent

Cause: the restarted agent knows no worker and could not report the end. The owner extended the leases of the worker with each grant to that agent, so that they never ended, and a new owner awaited them for 8 s from its takeover on.

An agent that has known no worker for longer than any lease of an earlier process can last, from its own first tick, now reports that it is vacant. The owner then takes the runs of disconnected workers under that node as lost, unless orders to the agent are on their way: a worker that announces itself meanwhile could still carry out a start.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -100,6 +100,7 @@
     void resetRuns();
     void describeRun(const start_order &description);
     void report(instant now);
+    [[nodiscard]] bool isVacant(instant now) const;
     void reportAllRuns(agent_report &content, instant now) const;
     [[nodiscard]] std::unique_ptr<run_status> statusOf(const run_key &key, const run_state &state,
                                                        instant now) const;
@@ -134,6 +135,7 @@
     worker_call call(worker_call_kind kind) const;
 
     const agent_options m_options;
+    std::optional<instant> m_firstTick;
     std::optional<worker_info> m_worker;
     bool m_workerReported = false; ///< on the current connection
     /// Start time of an incarnation that has answered but not announced itself yet; 0: none.
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -275,6 +275,11 @@
                     instant now);
     [[nodiscard]] bool hasMajority() const;
     void removeLostWorkers(instant now);
+    [[nodiscard]] bool hasOrdersOnTheirWay(const std::string &node,
+                                           const agent_report &report) const;
+    void removeWorkersOfVacantAgent(const std::string &node, const agent_report &report);
+    std::map<worker_key, std::unique_ptr<worker>>::iterator
+    removeWorker(std::map<worker_key, std::unique_ptr<worker>>::iterator lost, const char *reason);
 
     // scheduler_sharing.cpp: interference between tasks on the same worker
     void observeDisturbances(worker &worker, const agent_report &report, instant now);
@@ -336,6 +341,7 @@
     instant m_takeover{};
     bool m_loaded = false;
     std::uint64_t m_lastOrders = 0;
+    std::map<std::string, std::uint64_t> m_ordersSent; ///< last number on the connection, by node
     bool m_passNeeded = false; ///< a scheduling pass may be able to start tasks
     bool m_commitInFlight = false;
     std::optional<instant> m_storeFailedSince;
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -194,6 +194,8 @@
 
 void agent::tick(instant now)
 {
+    if (!m_firstTick)
+        m_firstTick = now;
     if (m_worker && m_epoch > 0 && m_unannouncedStartMs == 0) {
         if (!m_holdPending && now >= m_nextHold)
             sendHold(now);
@@ -209,6 +211,15 @@
         report(now);
 }
 
+/// Whether nothing runs beside this agent. This process has granted no lease, as it has known no
+/// worker, and those of an earlier process, which ended before the first tick, are over.
+bool agent::isVacant(instant now) const
+{
+    const auto term = std::max<duration>(m_term, m_options.term);
+    const auto maxDrift = std::chrono::duration_cast<duration>(term * m_options.clockDrift);
+    return !m_worker && m_firstTick && now - *m_firstTick > term + maxDrift + m_options.leaseMargin;
+}
+
 void agent::report(instant now)
 {
     agent_report content;
@@ -216,6 +227,7 @@
     content.ordersSeen = m_ordersSeen;
     content.responsive = m_responsive;
     content.lapsed = m_lapsed;
+    content.vacant = isVacant(now);
     if (m_worker && !m_workerReported) {
         content.worker = std::make_unique<worker_info>(*m_worker);
         m_workerReported = true;
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -194,8 +194,10 @@
         found->second->committedState = state;
         found->second->stored = true;
     }
-    for (auto &[node, orders] : m_inFlight.orders)
+    for (auto &[node, orders] : m_inFlight.orders) {
+        m_ordersSent[node] = orders.number;
         m_messages.push_back({ node, makeMessage(std::move(orders)) });
+    }
     for (outgoing_message &content : m_inFlight.messages)
         m_messages.push_back(std::move(content));
     m_inFlight = {};
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -1,6 +1,7 @@
 #include "plantainpitch/sched/scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace plantainpitch::sched {
@@ -38,6 +39,7 @@
 {
     m_agents.insert(node);
     m_connected.insert(node);
+    m_ordersSent.erase(node);
     // Orders that were sent on an earlier connection have either arrived or are lost.
     const auto found = m_workerByNode.find(node);
     if (found == m_workerByNode.end())
@@ -210,6 +212,8 @@
         onWorkerCrash(*crash, now);
     if (report.worker)
         updateWorker(node, *report.worker, now);
+    if (report.vacant)
+        removeWorkersOfVacantAgent(node, report);
     const auto found = m_workerByNode.find(node);
     if (found == m_workerByNode.end()) {
         grantLease(node, nullptr, report, now);
@@ -305,12 +309,42 @@
             ++each;
             continue;
         }
-        requeueLostRuns(worker, "leases_ended");
-        const auto byNode = m_workerByNode.find(worker.agent);
-        if (byNode != m_workerByNode.end() && byNode->second == &worker)
-            m_workerByNode.erase(byNode);
-        each = m_workers.erase(each);
+        each = removeWorker(each, "leases_ended");
+    }
+}
+
+/// Whether the agent may still get orders that it had not carried out when it sent the report.
+bool scheduler::hasOrdersOnTheirWay(const std::string &node, const agent_report &report) const
+{
+    const auto sent = m_ordersSent.find(node);
+    return m_staged.orders.count(node) > 0 || m_inFlight.orders.count(node) > 0
+           || (sent != m_ordersSent.end() && report.ordersSeen < sent->second);
+}
+
+/// The leases of these workers cannot be awaited: grants to the agent extend them, as it may give
+/// them to a worker that it gets to know, and a new owner does not know when they were granted.
+void scheduler::removeWorkersOfVacantAgent(const std::string &node, const agent_report &report)
+{
+    // A worker that announces itself meanwhile could still carry out a start.
+    if (hasOrdersOnTheirWay(node, report))
+        return;
+    for (auto each = m_workers.begin(); each != m_workers.end();) {
+        const worker &worker = *each->second;
+        each = worker.agent == node && !worker.connected ? removeWorker(each, "agent_vacant")
+                                                         : std::next(each);
     }
 }
 
+std::map<worker_key, std::unique_ptr<worker>>::iterator
+scheduler::removeWorker(std::map<worker_key, std::unique_ptr<worker>>::iterator lost,
+                        const char *reason)
+{
+    worker &worker = *lost->second;
+    requeueLostRuns(worker, reason);
+    const auto byNode = m_workerByNode.find(worker.agent);
+    if (byNode != m_workerByNode.end() && byNode->second == &worker)
+        m_workerByNode.erase(byNode);
+    return m_workers.erase(lost);
+}
+
 } // namespace plantainpitch::sched
