--- a/src/libsched/scheduler_standing_random_test.cpp
+++ b/src/libsched/scheduler_stalled_random_test.cpp
@@ -340,15 +340,15 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(scheduler_standing_random)
+BOOST_AUTO_TEST_SUITE(scheduler_stalled_random)
 
 // Guards against jobs that stand still in a mostly free fleet after faults that are over (LOST at
 // the end of a day).
 BOOST_AUTO_TEST_CASE(noJobStandsStillInAMostlyFreeFleetAfterRandomFaults)
 {
     constexpr std::uint64_t seeds = 24;
-    const char *const first = std::getenv("STANDING_FIRST_SEED");
-    const char *const count = std::getenv("STANDING_SEEDS");
+    const char *const first = std::getenv("STALLED_FIRST_SEED");
+    const char *const count = std::getenv("STALLED_SEEDS");
     const std::uint64_t begin = first ? std::strtoull(first, nullptr, 10) : 1;
     const std::uint64_t end = begin + (count ? std::strtoull(count, nullptr, 10) : seeds);
     for (std::uint64_t seed = begin; seed < end; ++seed) {
