Say in worker_readmitted why an exclusion ended

An exclusion for failures ends by time or because a run that began during it completes. The line did not tell which, so that an operator could not see whether a worker had proved to be sound.

Change: worker_readmitted has the field cause, completed_run or time; its other fields stay. recordSuccess leaves an exclusion alone that is already over, which changes no placement.

theLogSaysThatACompletedRunEndedAnExclusion and aRunCountsAsTheEndOnlyOfTheExclusionThatItEnded are new.

--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -105,7 +105,7 @@
     std::vector<job_failure> failedJobs;
     instant excludedUntil{};
     std::uint32_t exclusions = 0;
-    instant failuresExcludedAt{}; ///< begin of the last exclusion for failures
+    instant failuresExcludedAt{}; ///< last exclusion for failures; zero if a run ended it
     instant lastFailure{};
 
     // For log lines about exclusions.
--- a/src/include/plantainpitch/sched/worker_health.h
+++ b/src/include/plantainpitch/sched/worker_health.h
@@ -15,6 +15,8 @@
 /// Resets the failure history after a run that was ordered at \a orderedAt has completed on the
 /// worker. A run that began during an exclusion for failures ends it.
 void recordSuccess(worker &worker, instant orderedAt, instant now);
+/// Whether the last exclusion was for failures and ended because a run completed.
+bool exclusionEndedByRun(const worker &worker);
 /// Whether a task with this many failures may start on the worker although it is excluded. The last
 /// attempt is not risked right after another task has failed there.
 bool mayTryExcluded(const worker &worker, std::uint32_t failures, std::uint32_t maxAttempts,
--- a/src/libsched/scheduler_log.cpp
+++ b/src/libsched/scheduler_log.cpp
@@ -1,4 +1,5 @@
 #include "plantainpitch/sched/scheduler.h"
+#include "plantainpitch/sched/worker_health.h"
 #include "share_in_use.h"
 
 #include <algorithm>
@@ -172,6 +173,7 @@
             log(log_level::info, "worker_readmitted",
                 { { "worker", key.id },
                   { "reason", worker.loggedExclusion },
+                  { "cause", exclusionEndedByRun(worker) ? "completed_run" : "time" },
                   { "took_ms", millisecondsText(now - worker.excludedSince) } });
             worker.loggedExclusion.clear();
         }
--- a/src/libsched/scheduler_log_test.cpp
+++ b/src/libsched/scheduler_log_test.cpp
@@ -189,6 +189,28 @@
     requireNoViolations(fleet.model);
 }
 
+// Guards against an exclusion that ends early without a line that says why (issue 28).
+BOOST_AUTO_TEST_CASE(theLogSaysThatACompletedRunEndedAnExclusion)
+{
+    logged_fleet fleet(1);
+    fleet.model.nodes.front().worker.failsAll = true;
+    for (int i = 0; i < 450; ++i) {
+        fleet.model.send(fleet.model.submission("failing-" + std::to_string(i), 1, 500));
+        fleet.model.run(100);
+    }
+    fleet.model.nodes.front().worker.failsAll = false;
+    const auto &worker = *fleet.model.owner->workers().begin()->second;
+    BOOST_REQUIRE((worker.excludedUntil - fleet.model.now() >= std::chrono::seconds(5)));
+    // Starved jobs go on failing there, so that it is one exclusion from the first failures on.
+    BOOST_REQUIRE(fleet.lines("worker_readmitted").empty());
+    fleet.model.run(4'500);
+    const auto readmitted = fleet.lines("worker_readmitted");
+    BOOST_REQUIRE(readmitted.size() == 1U);
+    BOOST_TEST(field(readmitted.back(), "reason") == "failures");
+    BOOST_TEST(field(readmitted.back(), "cause") == "completed_run");
+    requireNoViolations(fleet.model);
+}
+
 // Guards against a line for each report of a worker that stands still; the lines have to name the
 // runs.
 BOOST_AUTO_TEST_CASE(anExclusionForStalledRunsIsLoggedWithTheRuns)
@@ -206,6 +228,8 @@
     const auto readmitted = fleet.lines("worker_readmitted");
     BOOST_TEST(readmitted.size() <= excluded.size());
     BOOST_TEST(readmitted.size() + 1 >= excluded.size());
+    for (const write_log &line : readmitted)
+        BOOST_TEST(field(line, "cause") == "time");
     requireNoViolations(fleet.model);
 }
 
--- a/src/libsched/worker_health.cpp
+++ b/src/libsched/worker_health.cpp
@@ -58,8 +58,16 @@
 {
     worker.failedJobs.clear();
     worker.exclusions = 0;
-    if (worker.exclusionReason == "failures" && orderedAt >= worker.failuresExcludedAt)
-        worker.excludedUntil = std::min(worker.excludedUntil, now);
+    if (worker.exclusionReason != "failures" || worker.excludedUntil <= now
+        || orderedAt < worker.failuresExcludedAt)
+        return;
+    worker.excludedUntil = now;
+    worker.failuresExcludedAt = {};
+}
+
+bool exclusionEndedByRun(const worker &worker)
+{
+    return worker.exclusionReason == "failures" && worker.failuresExcludedAt == instant{};
 }
 
 bool mayTryExcluded(const worker &worker, std::uint32_t failures, std::uint32_t maxAttempts,
--- a/src/libsched/worker_health_test.cpp
+++ b/src/libsched/worker_health_test.cpp
@@ -73,6 +73,22 @@
     BOOST_TEST((worker.excludedUntil <= last + seconds(2)));
 }
 
+// Guards against a log that says that a run ended an exclusion which ended by time, or the reverse.
+BOOST_AUTO_TEST_CASE(aRunCountsAsTheEndOnlyOfTheExclusionThatItEnded)
+{
+    sched::worker worker;
+    instant last = failThreeJobs(worker, instant(seconds(100)), seconds(1));
+    recordSuccess(worker, last - seconds(1), last + seconds(1)); // began before
+    BOOST_TEST(!exclusionEndedByRun(worker));
+    recordSuccess(worker, last + seconds(1), last + seconds(2));
+    BOOST_TEST(exclusionEndedByRun(worker));
+    last = failThreeJobs(worker, last + seconds(3), seconds(0));
+    BOOST_TEST(!exclusionEndedByRun(worker));
+    const instant end = worker.excludedUntil;
+    recordSuccess(worker, last + seconds(1), end);
+    BOOST_TEST(!exclusionEndedByRun(worker));
+}
+
 // Guards against a job that fails because the last attempt of a task goes to a worker on which
 // others have just failed.
 BOOST_AUTO_TEST_CASE(theLastAttemptOfATaskWaitsUntilTheFailuresOnAWorkerLieBack)
