--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -106,7 +106,7 @@
     std::vector<job_failure> failedJobs;
     instant excludedUntil{};
     std::uint32_t exclusions = 0;
-    // The last exclusion for failures.
+    // The last exclusion for failures; zero if a run ended it.
     instant failureExclusionStart{};
     instant failureExclusionEnd{};
     instant lastFailure{};
--- a/src/include/plantainpitch/sched/worker_health.h
+++ b/src/include/plantainpitch/sched/worker_health.h
@@ -15,6 +15,8 @@
 /// Resets the failure history after a run that was ordered at \a orderedAt has completed on the
 /// worker. A run that began during an exclusion for failures ends it.
 void recordSuccess(worker &worker, instant orderedAt, instant now);
+/// Whether the last exclusion was for failures and ended because a run completed.
+bool exclusionEndedByRun(const worker &worker);
 /// Whether a run may start on the excluded worker to find out if it is sound again. Limits the
 /// attempts that a worker which goes on failing uses up.
 bool mayTry(const worker &worker, instant now);
--- a/src/libsched/worker_health.cpp
+++ b/src/libsched/worker_health.cpp
@@ -61,9 +61,17 @@
 {
     worker.failedJobs.clear();
     worker.exclusions = 0;
-    const bool excludedForFailures = worker.excludedUntil == worker.failureExclusionEnd;
-    if (excludedForFailures && orderedAt >= worker.failureExclusionStart)
-        worker.excludedUntil = std::min(worker.excludedUntil, now);
+    const bool excludedForFailures =
+            worker.excludedUntil > now && worker.excludedUntil == worker.failureExclusionEnd;
+    if (!excludedForFailures || orderedAt < worker.failureExclusionStart)
+        return;
+    worker.excludedUntil = now;
+    worker.failureExclusionStart = worker.failureExclusionEnd = {};
+}
+
+bool exclusionEndedByRun(const worker &worker)
+{
+    return worker.exclusionReason == "failures" && worker.failureExclusionEnd == instant{};
 }
 
 bool mayTry(const worker &worker, instant now)
