--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -48,6 +48,7 @@
             std::int64_t sinceMs = 0;
             sched::resources amount;
         };
+        bool announcementsHeldUp = false; ///< those of the worker do not reach the agent
         bool ordersHeldUp = false; ///< messages to the agent wait on the connection
         std::vector<waiting_call> calls;
         std::map<std::string, std::int64_t> orderedMs; ///< sending of the start, by "task run"
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -112,7 +112,7 @@
         if (const auto *orders = content.content.Asagent_orders())
             node.agent->onOrders(*orders, now());
     }
-    if (node.worker.up && timeMs % announceMs == 0)
+    if (node.worker.up && !node.announcementsHeldUp && timeMs % announceMs == 0)
         announce(node);
     stepCalls(node);
     node.agent->tick(now());
--- a/src/libsched/scheduler_vanished_worker_test.cpp
+++ b/src/libsched/scheduler_vanished_worker_test.cpp
@@ -166,4 +166,25 @@
     }
 }
 
+// Guards against two runs of a task whose worker is up and announces itself late.
+BOOST_AUTO_TEST_CASE(aTaskRunsOnceAfterARestartOfItsAgentBesideAWorkerThatIsAnnouncedLate)
+{
+    for (const bool takeover : { false, true }) {
+        for (std::int64_t delayMs = 4'000; delayMs <= 8'000; delayMs += 50) {
+            calm_fleet fleet;
+            auto *place = fleet.find();
+            BOOST_REQUIRE(place);
+            place->announcementsHeldUp = true;
+            fleet.play(event::agent_restart, *place);
+            if (takeover)
+                fleet.play(event::takeover, *place);
+            fleet.model.run(delayMs);
+            place->announcementsHeldUp = false;
+            fleet.model.run(6'000);
+            BOOST_TEST((fleet.find() != nullptr), "announced after " << delayMs << " ms");
+            requireNoViolations(fleet.model);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
