Keep a third of a service's workers free of trials

Callers: none seen.

Cause: a worker that hosts the trial of a suspected task takes nothing else, and a task that had waited 3 s for its trial was tried without regard to the number of trials. With many suspected tasks, trials occupied all workers, and other jobs waited although most of the capacity was free.

Change: a trial begins only if a third of the service's usable workers, one at least if there are two or more, stays free of trials.

--- a/src/libsched/scheduler_crashes.cpp
+++ b/src/libsched/scheduler_crashes.cpp
@@ -23,6 +23,9 @@
 /// A task that has waited this long for its trial is tried without regard to the number of trials
 /// and to what has just begun.
 constexpr milliseconds maxTrialWait{ 3'000 };
+/// Of the usable workers of a service, at least one in this many hosts no trial, however long tasks
+/// wait for theirs: a worker that hosts one takes nothing else.
+constexpr std::ptrdiff_t workersPerFreeOfTrials = 3;
 /// Reports of workers that crashed at the same moment arrive within this time.
 constexpr milliseconds decisionDelay{ 250 };
 /// Crashes that are at most this far apart have one cause if none of the workers hosted a trial.
@@ -265,6 +268,19 @@
     const auto places = m_trialPlaces.find(eligible.front()->service);
     if ((places == m_trialPlaces.end() || places->second <= 0) && !waitedLong)
         return {};
+    std::ptrdiff_t usable = 0;
+    std::ptrdiff_t freeOfTrials = 0;
+    for (const auto &[key, worker] : m_workers) {
+        if (worker->service != eligible.front()->service || !worker->connected || !worker->ready
+            || !worker->responsive)
+            continue;
+        ++usable;
+        freeOfTrials += worker->trials > 0 ? 0 : 1;
+    }
+    const std::ptrdiff_t keptFree =
+            usable < 2 ? 0 : (usable + workersPerFreeOfTrials - 1) / workersPerFreeOfTrials;
+    if (freeOfTrials <= keptFree)
+        return {};
     std::erase_if(eligible, [&](const worker *each) {
         return each->trials > 0 || (!waitedLong && now - each->lastStart < quietBeforeTrial);
     });
--- a/src/libsched/scheduler_standing_jobs_test.cpp
+++ b/src/libsched/scheduler_standing_jobs_test.cpp
@@ -156,6 +156,71 @@
     requireNoViolations(model);
 }
 
+// Guards against trials of many suspected tasks that take all workers from other jobs.
+BOOST_AUTO_TEST_CASE(aJobStartsBesideTrialsOfManySuspectedTasks)
+{
+    fleet_model model(6);
+    model.run(1'000);
+    for (int i = 0; i < 240; ++i) {
+        auto suspected = model.submission("suspected-" + std::to_string(i), 1, 10);
+        suspected.submitted->spec->steps[0]->estimateMs = 60'000;
+        model.send(suspected);
+    }
+    const auto runLong = [&model](std::int64_t ms) {
+        for (std::int64_t passed = 0; passed < ms; passed += fleet_model::stepMs) {
+            model.step();
+            for (auto &node : model.nodes) {
+                for (auto &[task, state] : node.worker.running) {
+                    if (task.starts_with("suspected-"))
+                        state.leftMs = 60'000 - state.doneMs;
+                }
+            }
+        }
+    };
+    std::map<std::string, int> crashes;
+    for (int i = 0; i < 100; ++i) {
+        runLong(50);
+        for (auto &node : model.nodes) {
+            const auto &running = node.worker.running;
+            const bool hasYoungRun =
+                    std::any_of(running.begin(), running.end(),
+                                [](const auto &run) { return run.second.doneMs >= 50; });
+            if (!hasYoungRun || crashes[node.name] >= 2)
+                continue;
+            ++crashes[node.name];
+            model.crashWorker(node);
+            node.worker.restartInMs = 500;
+            runLong(300); // crashes at the same moment would have one cause
+        }
+    }
+    const auto needsTrial = [&model] {
+        int count = 0;
+        for (int i = 0; i < 240; ++i) {
+            const sched::job *job = model.owner->findJob("suspected-" + std::to_string(i));
+            count += job->occurrences[0].steps[0].tasks[0].needsTrial() ? 1 : 0;
+        }
+        return count;
+    };
+    BOOST_REQUIRE(needsTrial() >= 20);
+    const auto isRunning = [&model](const std::string &task) {
+        return std::any_of(model.nodes.begin(), model.nodes.end(), [&task](const auto &node) {
+            return node.worker.running.count(task) > 0;
+        });
+    };
+    std::int64_t longestMs = 0;
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "sound-" + std::to_string(i);
+        model.send(model.submission(id, 1, 500));
+        std::int64_t waitedMs = 0;
+        for (; waitedMs < 30'000 && !isRunning(id + ".0.0.0"); waitedMs += fleet_model::stepMs)
+            runLong(fleet_model::stepMs);
+        longestMs = std::max(longestMs, waitedMs);
+        runLong(350);
+    }
+    BOOST_TEST(longestMs < maxStandstillMs);
+    requireNoViolations(model);
+}
+
 // Guards against a gang that waits because neither the sound workers nor the excluded ones alone
 // have room for all its members.
 BOOST_AUTO_TEST_CASE(aGangStartsOnSoundAndExcludedWorkersTogether)
