--- a/src/libsched/scheduler_crashes.cpp
+++ b/src/libsched/scheduler_crashes.cpp
@@ -25,7 +25,7 @@
 constexpr milliseconds maxTrialWait{ 3'000 };
 /// Of the usable workers of a service, at least one in this many hosts no trial, however long tasks
 /// wait for theirs: a worker that hosts one takes nothing else.
-constexpr std::ptrdiff_t workersPerFreeOfTrials = 3;
+constexpr std::ptrdiff_t workersPerTrialFreeWorker = 3;
 /// Reports of workers that crashed at the same moment arrive within this time.
 constexpr milliseconds decisionDelay{ 250 };
 /// Crashes that are at most this far apart have one cause if none of the workers hosted a trial.
@@ -278,7 +278,7 @@
         freeOfTrials += worker->trials > 0 ? 0 : 1;
     }
     const std::ptrdiff_t keptFree =
-            usable < 2 ? 0 : (usable + workersPerFreeOfTrials - 1) / workersPerFreeOfTrials;
+            usable < 2 ? 0 : (usable + workersPerTrialFreeWorker - 1) / workersPerTrialFreeWorker;
     if (freeOfTrials <= keptFree)
         return {};
     std::erase_if(eligible, [&](const worker *each) {
--- a/src/libsched/scheduler_stalled_jobs.cpp
+++ b/src/libsched/scheduler_stalled_jobs.cpp
@@ -1,4 +1,5 @@
 #include "plantainpitch/sched/scheduler.h"
+#include "share_in_use.h"
 
 #include <algorithm>
 #include <tuple>
@@ -18,28 +19,12 @@
 /// stood still longest, the others for the younger ones in turn, as the oldest may fit nowhere.
 constexpr std::size_t maxSearchesPerPass = 100;
 
-double share(std::int64_t amount, std::int64_t total)
-{
-    return static_cast<double>(amount) / static_cast<double>(std::max<std::int64_t>(total, 1));
-}
-
 } // namespace
 
 /// Whether less than half of what the service's workers have is reserved or used by filling tasks.
 bool scheduler::isMostlyFree(const std::string &service) const
 {
-    resources used;
-    resources capacity;
-    for (const auto &[key, worker] : m_workers) {
-        if (worker->service != service)
-            continue;
-        used = used + worker->used;
-        used.cpu += worker->fillingCpu;
-        capacity = capacity + worker->capacity;
-    }
-    return share(used.cpu, capacity.cpu) < maxShareInUse
-           && share(used.memoryMb, capacity.memoryMb) < maxShareInUse
-           && share(used.accelerators, capacity.accelerators) < maxShareInUse;
+    return detail::shareInUse(m_workers, service) < maxShareInUse;
 }
 
 /// Starts a task of the jobs that stand still in a mostly free service, if need be on a worker that
