--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -285,7 +285,7 @@
                               && fitsOneRack(queue.service, spec);
     if (spec.sameRack) {
         for (const auto &[rack, workers] : byRack(eligible)) {
-            const auto chosen = planGang(job, occurrence, step, workers, terms);
+            auto chosen = planGang(job, occurrence, step, workers, terms);
             if (!chosen.empty())
                 return chosen;
         }
--- a/src/libsched/scheduler_stalled_random_test.cpp
+++ b/src/libsched/scheduler_stalled_random_test.cpp
@@ -8,7 +8,6 @@
 #include <cstdlib>
 
 using namespace plantainpitch;
-using sched::job_state;
 using test::fleet_model;
 
 namespace {
