--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,5 @@
-"""One worker goes down and up by turns: the lasting job whose task belongs there is given up as
-failed, and its sound tasks on all other workers are stopped."""
+"""A job with more tasks than its progress fits into a record of the store: the append is refused
+and repeated for ever, and nothing else is stored, started or accepted any more."""
 
 import os
 import sys
@@ -11,45 +11,49 @@
 
 from fleet import CannotRun, play  # noqa: E402
 
-WORKERS = 10
-FLAPPING = 3  # one worker of ten: a share of 0.1
-PERIOD_S, FLAP_S = 1.4, 6.5
-JOB = "5c0e7a21d94b36f8"
-STEP = {"count": WORKERS, "cpu": 6400, "mem_mb": 13000, "estimate_ms": 320, "long_running": True,
-        "target_ms": 60, "image": "conciliacion-1", "max_per_server": 1}
+TASKS = int(os.environ.get("TASKS", "4000"))
+USUAL_TASKS = 32
+FINISH_S = 14.0  # bounds.finish_s
+IDLE_S = 3.0
+
+LARGE, EARLIER, LATER = "5c0e7a21d94b36f8", "0a11c0de5c0e7a21", "0b22c0de5c0e7a21"
+SMALL_STEPS = [{"count": 6, "cpu": 480, "mem_mb": 960, "estimate_ms": 2000},
+               {"count": 6, "cpu": 480, "mem_mb": 960, "estimate_ms": 2000, "depends_on": [0]}]
 
 
 def body(fleet, trouble):
-    def at_work():
-        return sum(1 for run in fleet.record.runs_of(JOB) if run["ended"] is None)
-
-    fleet.plans[JOB] = lambda task, run: (float("inf"), "failed")  # lasts
-    fleet.submit(JOB, [STEP])
-    if not fleet.wait(lambda: at_work() == WORKERS, 10):
-        raise CannotRun("the lasting tasks are not at work")
-    time.sleep(2)
-    if trouble:
-        worker = fleet.workers[FLAPPING]
-        end = time.monotonic() + FLAP_S
-        while time.monotonic() < end:
-            worker.crash()
-            fleet.record.write(f"DOWN {worker.name}")
-            time.sleep(PERIOD_S / 2)
-            worker.boot()
-            fleet.record.write(f"UP {worker.name}")
-            time.sleep(PERIOD_S / 2)
-    time.sleep(10)  # calm
-    state = fleet.state(JOB)
-    ends = [run["how"] for run in fleet.record.runs_of(JOB) if run["how"]]
-    fleet.record.write(f"state {state}, tasks at work: {at_work()} of {WORKERS}; ends of runs: "
-                       + ", ".join(f"{ends.count(how)} {how}" for how in sorted(set(ends))))
-    if state in ("failed", "cancelled") and "failed" not in ends:
-        fleet.record.broke("LOST", f"{JOB} is shown as {state}; nobody cancelled it, and no run of "
-                                   "it has ended `failed`")
-    for node in fleet.nodes:
-        for line in fleet.log_lines(node, ["task_given_up"]):
-            fleet.record.write(f"{node.name}: {line}")
+    step = {"count": TASKS if trouble else USUAL_TASKS, "cpu": 15, "mem_mb": 20,
+            "estimate_ms": 2000}
+    for job in (LARGE, EARLIER, LATER):
+        fleet.plans[job] = lambda task, run: (2.0, "done")
+    if fleet.submit(EARLIER, SMALL_STEPS)[-1] != 200:
+        raise CannotRun("the first job was not accepted")
+    time.sleep(1)
+    fleet.submit(LARGE, [step], attempts=2)
+    fleet.submit(LATER, SMALL_STEPS)
+    fleet.record.write("end of the traffic")
+    time.sleep(FINISH_S)
+    # From here on the jobs are asked for.
+    idle_since, state = time.monotonic(), None
+    while time.monotonic() - idle_since < IDLE_S:
+        state = fleet.state(EARLIER, quiet=True)
+        if state == "completed" or any(worker.running for worker in fleet.workers):
+            break
+        time.sleep(0.2)
+    fleet.record.write(f"{EARLIER}: {state}, at work on the workers: "
+                       f"{[len(worker.running) for worker in fleet.workers]}")
+    fleet.state(EARLIER)
+    fleet.state(LARGE)
+    fleet.state(LATER)
+    second = fleet.record.runs_of(EARLIER + ".0.1.")
+    if state != "completed" and time.monotonic() - idle_since >= IDLE_S and not second:
+        fleet.record.broke("LOST", f"{EARLIER} was accepted; for {IDLE_S} s nothing of it runs, its"
+                                   " second step has never started, and all workers are empty")
+    owner = fleet.owner()
+    if owner is not None:
+        lines = fleet.log_lines(fleet.nodes[owner], ["store_call_failed call=append", "event=store"])
+        fleet.record.write(f"owner: {len(lines)} lines like: {lines[-1:]}")
 
 
 if __name__ == "__main__":
-    play(FOLDER, body, nodes=WORKERS)
+    play(FOLDER, body, nodes=3)
