--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,9 +14,9 @@
 
 WORKERS = 2
 JOBS, JOBS_PER_S = 34, 11.0  # the site's 7.2 a second; a burst of 2.6 times would be 18.8
-STEP = {"count": 36, "cpu": 50, "mem_mb": 150, "estimate_ms": 4200}
-WORK_S = 4.2
-OUTAGE_S = 4.5
+STEP = {"count": 36, "cpu": 50, "mem_mb": 150, "estimate_ms": 4000}
+WORK_S = 4.0
+OUTAGE_S = 4.2
 LISTED = 500  # ends that a worker returns at a time
 
 
@@ -42,8 +42,8 @@
     if max(at_work.values()) < LISTED + 20:
         raise CannotRun(f"too few tasks are at work at the same time: {at_work}")
     if trouble:
-        fleet.record.write(f"STORE silent; at work: {at_work}")
-        fleet.store.be_silent(OUTAGE_S)
+        fleet.record.write(f"STORE busy (503); at work: {at_work}")
+        fleet.store.be_down("busy", OUTAGE_S)
         fleet.record.write("STORE back")
     if not fleet.wait(lambda: all(fleet.state(job, quiet=True) == "completed" for job in jobs),
                       40, 0.5):
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -146,9 +146,9 @@
         self._refused = 0
         super().__init__(address, seed)
 
-    def be_silent(self, seconds):
-        """An outage in which the times of the group's members pause."""
-        self.outage = "silent"
+    def be_down(self, how, seconds):
+        """An outage, "silent" or "busy", in which the times of the group's members pause."""
+        self.outage = how
         time.sleep(seconds)
         with self._lock:
             for group in self._groups.values():
