--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import struct
 import sys
@@ -535,6 +536,10 @@
 def play(folder, body, **options):
     """Runs body(fleet, trouble) and ends with the exit code that the issue asks for."""
     record = Record(os.path.join(folder, "record.txt"))
+    def stop(_signal, _frame):
+        raise CannotRun("the time limit is over")
+
+    signal.signal(signal.SIGTERM, stop)
     failed = []
     threading.excepthook = lambda failure: failed.append(str(failure.exc_value))
     trouble = os.environ.get("TROUBLE", "1") != "0"
