Ignore further signals while a stopped case ends its programs

Cause: a second SIGTERM interrupted the end of the programs. Change: the first one is the last that counts.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -536,7 +536,8 @@
 def play(folder, body, **options):
     """Runs body(fleet, trouble) and ends with the exit code that the issue asks for."""
     record = Record(os.path.join(folder, "record.txt"))
-    def stop(_signal, _frame):
+    def stop(number, _frame):
+        signal.signal(number, signal.SIG_IGN)
         raise CannotRun("the time limit is over")
 
     signal.signal(signal.SIGTERM, stop)
