Do not take a run as absent while its worker may have more ends than it lists

Cause: a worker lists at most 500 ends, the earliest first, and goes on when these are noted. The agent took an accepted run that neither the running tasks nor these ends named as one that never was, and the owner started its task again. The same happened after a restart of the agent, through the stops that the owner orders for runs that the new process does not know.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -79,7 +79,9 @@
         double disturbance = 0; ///< headroom that serving tasks lose because of it
         resources reserved; ///< of an adopted run: nothing until the owner has described it
         bool stopPending = false;
-        bool listed = false; ///< by the worker; until then it may be on another incarnation
+        /// Listed by the worker as running; until then it may be on another incarnation, or have
+        /// ended.
+        bool listed = false;
         instant nextStop{};
         /// Listings of earlier holds do not prove that the run is absent.
         std::uint64_t firstConclusiveHold = 0;
@@ -171,6 +173,7 @@
     std::vector<run_refusal> m_refusals;
     std::vector<advice> m_advice; ///< for the next report
     bool m_listingReceived = false; ///< from the current incarnation
+    bool m_endsBeyondListing = false; ///< the last listing may have left out ends
     pacing m_pacing;
 
     std::uint64_t m_holdNumber = 0;
--- a/src/include/plantainpitch/sched/worker_call.h
+++ b/src/include/plantainpitch/sched/worker_call.h
@@ -44,7 +44,9 @@
 {
     std::uint64_t startMs = 0; ///< incarnation; 0: unknown
     std::vector<run_status> running;
-    std::vector<run_end> ended;
+    std::vector<run_end> ended; ///< the earliest that the owner has not noted
+    /// There may be later ends than those listed, so a run that is not named may have ended.
+    bool mayHaveMoreEnds = false;
 };
 
 struct worker_reply
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -29,6 +29,7 @@
     m_lastEnd = 0;
     m_endsNoted = 0;
     m_listingReceived = false;
+    m_endsBeyondListing = false;
 }
 
 bool agent::workerAnnounced(const worker_info &info, std::int64_t clockMs, instant now)
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -315,6 +315,12 @@
         m_reportDue = true;
     }
     processEnds(listing);
+    if (std::exchange(m_endsBeyondListing, listing.mayHaveMoreEnds) != listing.mayHaveMoreEnds) {
+        log(log_level::info, listing.mayHaveMoreEnds ? "ends_beyond_listing" : "all_ends_listed",
+            { { "worker", m_worker->id },
+              { "ends", std::to_string(listing.ended.size()) },
+              { "runs", std::to_string(m_runs.size()) } });
+    }
     std::set<run_key> running;
     std::size_t adopted = 0;
     for (const run_status &status : listing.running) {
@@ -332,8 +338,12 @@
     std::vector<run_key> absent;
     for (auto &[key, state] : m_runs) {
         const bool listed = running.count(key) > 0;
-        const bool conclusive =
-                state.firstConclusiveHold > 0 && holdNumber >= state.firstConclusiveHold;
+        // The run may have ended, and its end may be one of those that are not listed yet.
+        const bool mayHaveEnded = !listed && listing.mayHaveMoreEnds;
+        if (mayHaveEnded)
+            state.listed = false;
+        const bool conclusive = !mayHaveEnded && state.firstConclusiveHold > 0
+                                && holdNumber >= state.firstConclusiveHold;
         if (!listed && conclusive
             && (state.phase == run_phase::confirming_stop || state.phase == run_phase::running))
             absent.push_back(key);
--- a/src/libsched/fake_fleet_worker.h
+++ b/src/libsched/fake_fleet_worker.h
@@ -46,6 +46,7 @@
     std::map<std::string, running_task> running;
     std::map<std::string, std::uint32_t> highestStopped; ///< run by task
     std::vector<sched::run_end> ended;
+    std::size_t maxListedEnds = 500;
 
     static constexpr std::int64_t stopMs = 100;
     /// A member of a gang ends after it has waited this long for the others.
@@ -207,6 +208,8 @@
         reply.listing.emplace();
         reply.listing->startMs = info.startMs;
         reply.listing->ended = ended;
+        reply.listing->ended.resize(std::min(ended.size(), maxListedEnds));
+        reply.listing->mayHaveMoreEnds = ended.size() >= maxListedEnds;
         for (const auto &[task, state] : running) {
             sched::run_status status;
             status.task = task;
