Store jobs with many tasks in several records, and reject what cannot be stored

Cause: the progress of all tasks of a job was one record, which grew beyond the 256 KiB that the store accepts. The owner took the refusals as an outage and repeated the append for ever, and everything else waits for it.

Change: the progress is stored in records of 128 tasks, and a batch in as many appends as its size asks for; messages that depend on it are sent after the last one. Submissions that no record has room for are rejected when they are handed in, and clients see 400 instead of 503, which they would repeat. Orders to one node that are too long for a message go in several ones, and a gateway rejects a job that is too long for a message to the owner. Before, such messages closed the connection again and again. Records of earlier releases are loaded and split.

--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -5,6 +5,7 @@
 #include "plantainpitch/runtime/event_log.h"
 #include "plantainpitch/sched/partition_store.h"
 #include "plantainpitch/sched/scheduler.h"
+#include "plantainpitch/sched/store_limits.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,6 +22,7 @@
 {
     std::string node;
     std::chrono::milliseconds joinInterval{ 500 };
+    sched::store_limits store;
 };
 
 /// Competes for ownership of the partition. While this process is the owner, it connects to all
@@ -54,6 +56,7 @@
                    const sched::message &content);
     void scheduleFlush();
     void flush();
+    void appendNext(const std::shared_ptr<ownership> &current);
     void append(const std::shared_ptr<ownership> &current);
     void endOwnership(const char *reason);
     void publishGauges(instant now);
--- a/src/include/plantainpitch/sched/gateway.h
+++ b/src/include/plantainpitch/sched/gateway.h
@@ -18,7 +18,8 @@
 enum class gateway_status : std::uint8_t {
     done,
     unknown_job,
-    not_accepted, ///< the call was not carried out and never will be
+    not_accepted, ///< the call was not carried out and never will be; another may be
+    rejected, ///< the same, and another one with this content would not be either
     unknown, ///< the call may have been carried out
 };
 
--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -88,6 +88,10 @@
     job_state committedState = job_state::queued;
     bool stored = false; ///< the submission is stored
 
+    /// Values of the progress records after the first, as the store has them after the batch on its
+    /// way; empty: no record.
+    std::vector<std::string> furtherProgress;
+
     // Changes that the next commit stores.
     bool submissionChanged = false;
     bool progressChanged = false;
--- a/src/include/plantainpitch/sched/partition_store.h
+++ b/src/include/plantainpitch/sched/partition_store.h
@@ -13,7 +13,7 @@
 enum class append_status : std::uint8_t {
     stored,
     fenced, ///< a later owner has written; nothing was stored
-    unknown, ///< no answer, or nothing was done for now; the same batch may be sent again
+    unknown, ///< no answer, or nothing was done for now; the same append may be sent again
 };
 
 struct join_result
@@ -38,8 +38,8 @@
     /// The order of epochs is guaranteed only if each owner stores a batch at the start of its
     /// epoch.
     virtual void beginEpoch(std::function<void(append_status, std::uint64_t epoch)> done) = 0;
-    /// Stores a batch as a whole. \a number counts the batches of an epoch from 1; a batch that is
-    /// sent again under its number is stored once.
+    /// Stores the records as a whole; they must keep within the store's limits. \a number counts
+    /// the appends of an epoch from 1; one that is sent again under its number is stored once.
     virtual void append(std::uint64_t epoch, std::uint64_t number,
                         const std::vector<stored_record> &records,
                         std::function<void(append_status)> done) = 0;
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -14,6 +14,7 @@
 #include "plantainpitch/sched/placement_request.h"
 #include "plantainpitch/sched/placement_terms.h"
 #include "plantainpitch/sched/run_outcome.h"
+#include "plantainpitch/sched/store_limits.h"
 #include "plantainpitch/sched/stored_record.h"
 #include "plantainpitch/sched/task_name.h"
 #include "plantainpitch/sched/waiting_order.h"
@@ -44,6 +45,7 @@
     duration staleOwner = std::chrono::milliseconds(2'000);
     /// How long ended jobs remain visible to clients.
     duration keepEnded = std::chrono::seconds(150);
+    store_limits store;
 };
 
 /// A message and the node name of the process that receives it.
@@ -88,10 +90,11 @@
     /// To be called every 100 ms or so.
     void tick(instant now, std::int64_t wallMs);
 
-    /// Decides what can be started and returns the records to store, in one batch that is stored
-    /// as a whole. Nothing if there is nothing to store or a batch is on its way.
+    /// Decides what can be started and returns the records to store, as one batch. If they are too
+    /// many for one call to the store, they are to be stored in this order. Nothing if there is
+    /// nothing to store or a batch is on its way.
     std::optional<std::vector<stored_record>> nextCommit(instant now, std::int64_t wallMs);
-    /// The batch is stored.
+    /// The whole batch is stored.
     void commitDone();
 
     std::vector<outgoing_message> takeMessages();
@@ -108,6 +111,12 @@
     [[nodiscard]] const job *findJob(const std::string &id) const;
 
 private:
+    /// A progress record as it was read from the store.
+    struct loaded_progress
+    {
+        progress content;
+        std::string text;
+    };
     struct task_location
     {
         job *parentJob = nullptr;
@@ -115,26 +124,28 @@
         step_run *step = nullptr;
         task *taskState = nullptr;
     };
+    /// Orders for one node, in as many messages as their size asks for.
+    struct staged_orders
+    {
+        std::vector<agent_orders> messages;
+        std::size_t lastBytes = 0; ///< estimated size of the last message
+    };
     /// Messages and client-visible states that are held back until a batch is stored.
     struct staged_effects
     {
-        std::map<std::string, agent_orders> orders; ///< by node
+        std::map<std::string, staged_orders> orders; ///< by node
         std::vector<outgoing_message> messages;
         std::vector<std::pair<std::string, job_state>> committedStates; ///< by job id
     };
 
     // scheduler_jobs.cpp
     job &addJob(submission request, instant now, std::int64_t wallMs);
-    void applyProgress(job &job, const progress &record);
     void addDueOccurrences(job &job, std::int64_t wallMs);
     bool appendOccurrence(job &job, std::uint32_t number);
-    bool applyTaskProgress(job &job, const task_progress &stored);
-    void applyStoredCrashes(const job &job, task &task, const task_progress &stored);
     void endJob(job &job, job_outcome outcome);
     void stepDone(job &job, occurrence &affected);
     void markChanged(job &job);
     void removeOldJobs(std::int64_t wallMs);
-    [[nodiscard]] progress progressOf(const job &job) const;
     void answer(const std::string &node, std::uint64_t number, call_outcome outcome, const job *job,
                 bool afterCommit);
     void refuse(const std::string &node, const client_call &call, const char *reason,
@@ -145,6 +156,16 @@
     [[nodiscard]] const queue_config *queueOf(const job &job) const;
     void setObjective(job &job) const;
 
+    // scheduler_progress.cpp: progress of the jobs in the store
+    void loadProgress(const std::string &name, const std::string &value);
+    void applyProgress(job &job, std::map<std::uint32_t, loaded_progress> &records);
+    bool applyTaskProgress(job &job, const task_progress &stored);
+    void applyStoredCrashes(const job &job, task &task, const task_progress &stored);
+    [[nodiscard]] std::unique_ptr<task_progress> progressOf(const task &task) const;
+    [[nodiscard]] std::vector<progress> progressOf(const job &job) const;
+    void addProgressRecords(job &job, std::vector<stored_record> &records);
+    void removeProgressRecords(const job &job);
+
     // scheduler_queues.cpp
     [[nodiscard]] const queue_config *findQueue(const std::string &name) const;
     void loadQueue(const std::string &name, const std::string &value);
@@ -167,7 +188,7 @@
     void stopGang(const task_location &location);
     void recordCheckpoint(const task_location &location, const std::string &checkpoint);
     void requeueLostRuns(worker &worker, const char *reason);
-    agent_orders &ordersFor(worker &worker);
+    agent_orders &ordersFor(worker &worker, std::size_t bytes);
 
     // scheduler_placing.cpp
     void schedulePass(instant now);
@@ -327,7 +348,8 @@
     std::vector<job *> m_open;
     std::vector<job *> m_changed;
     std::vector<std::string> m_removedKeys;
-    std::unordered_map<std::string, progress> m_loadedProgress;
+    /// By job id and number of the record.
+    std::unordered_map<std::string, std::map<std::uint32_t, loaded_progress>> m_loadedProgress;
 
     std::map<worker_key, std::unique_ptr<worker>> m_workers;
     std::map<std::string, worker *> m_workerByNode;
--- a/src/libfleet/member_endpoint.cpp
+++ b/src/libfleet/member_endpoint.cpp
@@ -1,6 +1,8 @@
 #include "plantainpitch/fleet/member_endpoint.h"
 
 #include "plantainpitch/model/error.h"
+#include "plantainpitch/sched/message_limits.h"
+#include "plantainpitch/wire/frame_limits.h"
 
 namespace plantainpitch::fleet {
 
@@ -12,6 +14,8 @@
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 constexpr std::chrono::milliseconds acceptRetryDelay{ 50 };
 
+static_assert(sched::maxMessageBytes <= wire::maxFrameBytes);
+
 } // namespace
 
 member_endpoint::member_endpoint(asio::io_context &context, member_endpoint_options options,
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -29,9 +29,11 @@
     asio::steady_timer retryTimer;
     std::optional<sched::scheduler> scheduler;
     std::optional<member_dialer> members;
-    std::vector<sched::stored_record> batch; ///< the batch being appended to the store
-    std::uint64_t batchNumber = 0;
-    std::optional<instant> failedSince; ///< send time of the first failed append of the batch
+    std::vector<sched::stored_record> batch; ///< being stored, in one or more appends
+    std::size_t recordsStored = 0; ///< of the batch
+    std::vector<sched::stored_record> appended; ///< records of the append on its way
+    std::uint64_t appendNumber = 0;
+    std::optional<instant> failedSince; ///< send time of the first failure of the append
     std::set<std::string> removedAgents;
 };
 
@@ -139,6 +141,7 @@
 {
     sched::scheduler_options options;
     options.epoch = current->epoch;
+    options.store = m_options.store;
     current->scheduler.emplace(options, m_placement, m_order, m_disturbances);
     for (const sched::stored_record &record : records) {
         try {
@@ -235,8 +238,8 @@
         return;
     if (auto batch = current->scheduler->nextCommit(m_time.now(), m_time.wallMs())) {
         current->batch = std::move(*batch);
-        ++current->batchNumber;
-        append(current);
+        current->recordsStored = 0;
+        appendNext(current);
     }
     for (const sched::outgoing_message &outgoing : current->scheduler->takeMessages())
         current->members->send(outgoing.node, outgoing.content);
@@ -244,10 +247,26 @@
         m_log.write(line);
 }
 
+/// Appends as many of the batch's next records as the store accepts in one call.
+void owner_process::appendNext(const std::shared_ptr<ownership> &current)
+{
+    std::vector<sched::stored_record> &records = current->appended;
+    records.clear();
+    std::size_t bytes = 0;
+    for (std::size_t i = current->recordsStored; i < current->batch.size(); ++i) {
+        bytes += sched::storedBytes(current->batch[i]);
+        if (!records.empty() && bytes > m_options.store.callBytes)
+            break;
+        records.push_back(std::move(current->batch[i]));
+    }
+    ++current->appendNumber;
+    append(current);
+}
+
 void owner_process::append(const std::shared_ptr<ownership> &current)
 {
     const instant sentAt = m_time.now();
-    m_store.append(current->epoch, current->batchNumber, current->batch,
+    m_store.append(current->epoch, current->appendNumber, current->appended,
                    [this, current, sentAt](sched::append_status status) {
                        if (m_ownership != current)
                            return;
@@ -261,6 +280,11 @@
                                            .label = "jobs",
                                            .value = m_time.now() - sentAt });
                            current->scheduler->confirmOwnership(sentAt);
+                           current->recordsStored += current->appended.size();
+                           if (current->recordsStored < current->batch.size()) {
+                               appendNext(current);
+                               return;
+                           }
                            current->scheduler->commitDone();
                            flush();
                            return;
--- a/src/libfleet/owner_process_test.cpp
+++ b/src/libfleet/owner_process_test.cpp
@@ -21,11 +21,13 @@
     {
         done(sched::append_status::stored, 1);
     }
-    void append(std::uint64_t /*epoch*/, std::uint64_t /*number*/,
-                const std::vector<sched::stored_record> & /*records*/,
+    void append(std::uint64_t /*epoch*/, std::uint64_t number,
+                const std::vector<sched::stored_record> &appended,
                 std::function<void(sched::append_status)> done) override
     {
-        done(sched::append_status::stored);
+        appends.emplace_back(number, appended);
+        done(failures > 0 ? sched::append_status::unknown : sched::append_status::stored);
+        failures -= failures > 0 ? 1 : 0;
     }
     void load(std::function<void(bool, std::vector<sched::stored_record>)> done) override
     {
@@ -41,14 +43,17 @@
 
     bool ownsPartition = true;
     std::vector<sched::stored_record> records;
+    int failures = 0; ///< of the next appends
+    std::vector<std::pair<std::uint64_t, std::vector<sched::stored_record>>> appends;
 };
 
 /// A service of two tasks, for which there is no worker.
-sched::stored_record serviceRecord()
+sched::stored_record serviceRecord(const std::string &id = "5c0e7a21d94b36f8",
+                                   const std::string &queue = "queue")
 {
     sched::submission service;
-    service.id = "5c0e7a21d94b36f8";
-    service.queue = "queue";
+    service.id = id;
+    service.queue = queue;
     service.spec = std::make_unique<sched::job_spec>();
     service.spec->steps.push_back(std::make_unique<sched::step_spec>());
     service.spec->steps[0]->count = 2;
@@ -58,6 +63,10 @@
 
 struct owner_fixture
 {
+    explicit owner_fixture(sched::store_limits limits = {})
+        : subject(context, store, clock, log, { .node = "node", .store = limits })
+    {}
+
     void run(std::chrono::milliseconds time)
     {
         for (std::chrono::milliseconds passed{}; passed < time; passed += tick) {
@@ -81,7 +90,7 @@
     runtime::event_log log{ lines, counters };
     boost::asio::io_context context;
     answering_store store;
-    fleet::owner_process subject{ context, store, clock, log, { .node = "node" } };
+    fleet::owner_process subject;
 };
 
 } // namespace
@@ -105,3 +114,34 @@
     BOOST_TEST(fixture.serves("plantain_long_running_waiting 0"));
     BOOST_TEST(fixture.serves("plantain_long_running_longest_wait_seconds 0"));
 }
+
+// Guards against a batch that the store refuses for good because it is too long for one call.
+BOOST_AUTO_TEST_CASE(aBatchThatIsTooLongForOneCallIsStoredInSeveral)
+{
+    owner_fixture fixture({ .callBytes = 1 }); // a record each
+    sched::fleet_config config;
+    config.version = 1;
+    // The owner stores the settings of each queue that has a job.
+    for (const char *queue : { "first", "second", "third" }) {
+        config.queues[queue] = { .name = queue, .service = "pool" };
+        fixture.store.records.push_back(serviceRecord(queue, queue));
+    }
+    fixture.subject.setConfig(config, {});
+    fixture.store.failures = 1;
+    fixture.run(std::chrono::milliseconds(200));
+    fixture.context.restart();
+    fixture.context.run_for(std::chrono::milliseconds(300)); // until the append is repeated
+    const auto &appends = fixture.store.appends;
+    BOOST_REQUIRE(appends.size() == 4U);
+    BOOST_TEST(appends[0].first == 1U);
+    BOOST_TEST((appends[1] == appends[0]));
+    BOOST_TEST(appends[2].first == 2U);
+    BOOST_TEST(appends[3].first == 3U);
+    std::vector<std::string> keys;
+    for (std::size_t i = 1; i < appends.size(); ++i) {
+        BOOST_REQUIRE(appends[i].second.size() == 1U);
+        keys.push_back(appends[i].second[0].key);
+    }
+    const std::vector<std::string> expected = { "qfirst", "qsecond", "qthird" };
+    BOOST_TEST(keys == expected, boost::test_tools::per_element());
+}
--- a/src/libsched/gateway.cpp
+++ b/src/libsched/gateway.cpp
@@ -1,5 +1,7 @@
 #include "plantainpitch/sched/gateway.h"
 
+#include "plantainpitch/sched/message_limits.h"
+
 namespace plantainpitch::sched {
 
 bool gateway::ownerOpened(const owner_hello &hello, instant /*now*/)
@@ -39,6 +41,13 @@
     entry.content = std::move(call);
     entry.received = now;
     entry.deadline = deadline;
+    // The owner would close the connection, on which the calls of other clients wait.
+    if (entry.content.submitted
+        && encodeSubmission(*entry.content.submitted).size() > maxSubmittedBytes) {
+        log(log_level::warning, "job_too_large", { { "job", entry.content.job } });
+        finish(entry, gateway_status::rejected, {});
+        return;
+    }
     if (m_connected)
         send(entry);
     m_calls.emplace(entry.content.number, std::move(entry));
@@ -68,6 +77,8 @@
         finish(found->second, gateway_status::unknown_job, answer);
         break;
     case call_outcome::rejected:
+        finish(found->second, gateway_status::rejected, answer);
+        break;
     case call_outcome::unavailable:
         finish(found->second, gateway_status::not_accepted, answer);
         break;
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr char submissionPrefix = 'j';
-constexpr char progressPrefix = 'p';
+constexpr char progressPrefix = 'p'; // as in scheduler_progress.cpp
 constexpr char queuePrefix = 'q';
 /// Retries and scheduled occurrences become due without an event, so passes also run periodically.
 constexpr std::chrono::milliseconds passInterval{ 250 };
@@ -40,7 +40,7 @@
         loaded->stored = true;
         m_jobs[id] = std::move(loaded);
     } else if (record.key.front() == progressPrefix) {
-        m_loadedProgress[id] = decodeProgress(record.value);
+        loadProgress(id, record.value);
     } else if (record.key.front() == queuePrefix) {
         loadQueue(id, record.value);
     }
@@ -161,7 +161,7 @@
         if (job->progressChanged) {
             if (job->ended() && job->endedMs == 0)
                 job->endedMs = wallMs;
-            records.push_back({ progressPrefix + id, encodeProgress(progressOf(*job)) });
+            addProgressRecords(*job, records);
         }
         job->submissionChanged = false;
         job->progressChanged = false;
@@ -169,10 +169,8 @@
     }
     m_changed.clear();
     addQueueRecords(records);
-    for (const std::string &id : m_removedKeys) {
-        records.push_back({ submissionPrefix + id, {} });
-        records.push_back({ progressPrefix + id, {} });
-    }
+    for (const std::string &key : m_removedKeys)
+        records.push_back({ key, {} });
     m_removedKeys.clear();
     m_inFlight = std::move(m_staged);
     m_staged = {};
@@ -194,9 +192,11 @@
         found->second->committedState = state;
         found->second->stored = true;
     }
-    for (auto &[node, orders] : m_inFlight.orders) {
-        m_ordersSent[node] = orders.number;
-        m_messages.push_back({ node, makeMessage(std::move(orders)) });
+    for (auto &[node, staged] : m_inFlight.orders) {
+        for (agent_orders &orders : staged.messages) {
+            m_ordersSent[node] = orders.number;
+            m_messages.push_back({ node, makeMessage(std::move(orders)) });
+        }
     }
     for (outgoing_message &content : m_inFlight.messages)
         m_messages.push_back(std::move(content));
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr char submissionPrefix = 'j'; // as in scheduler.cpp
 /// Retry delay for clients whose call arrives before the queues are known.
 constexpr std::chrono::milliseconds notReadyRetry{ 300 };
 /// A store that has failed for this long counts as down, and new jobs are not accepted.
@@ -18,15 +19,15 @@
 constexpr std::chrono::milliseconds shortestOutageRetry{ 1'000 };
 constexpr std::chrono::milliseconds longestOutageRetry{ 3'000 };
 
+/// Bytes that the time of its reception adds to a submission, with padding.
+constexpr std::size_t addedAtReception = 32;
+
 /// Ten years; larger products of stretch and estimates would overflow.
 constexpr double longestObjectiveMs = 3.2e11;
 
 /// Weight of the newest job in the mean of its queue.
 constexpr double meanWeight = 0.05;
 
-/// An owner gives a task up after a few crashes, so a stored count above this is of no owner.
-constexpr std::uint32_t maxStoredCrashes = 16;
-
 /// Tasks, processors and estimate of each step, for log lines.
 std::string describeSteps(const job_spec &spec)
 {
@@ -41,7 +42,7 @@
 }
 
 /// Returns why the job of a submission cannot be accepted; empty if it can.
-std::string problemOf(const client_call &call)
+std::string problemOf(const client_call &call, const store_limits &limits)
 {
     if (!call.submitted || !call.submitted->spec)
         return "the submission has no job specification";
@@ -52,6 +53,12 @@
     } catch (const error &failure) {
         return failure.what();
     }
+    const stored_record record{ submissionPrefix + call.job, encodeSubmission(*call.submitted) };
+    const std::size_t size = storedBytes(record) + addedAtReception;
+    if (size > limits.recordBytes) {
+        return "the job takes " + std::to_string(size) + " bytes in the store, which accepts "
+               + std::to_string(limits.recordBytes) + "; hand it in as several jobs";
+    }
     return {};
 }
 
@@ -142,134 +149,6 @@
     }
 }
 
-/// Takes over a count of crashes. An impossible one leaves the task suspected, so that its next
-/// crash decides, and never counts a run that is yet to come.
-void scheduler::applyStoredCrashes(const job &job, task &task, const task_progress &stored)
-{
-    const bool possible = stored.crashes <= maxStoredCrashes && stored.crashedRun <= stored.run
-                          && stored.conclusiveCrashes <= stored.crashes;
-    task.crashes = stored.crashes <= maxStoredCrashes ? stored.crashes : 1;
-    task.conclusiveCrashes = possible ? stored.conclusiveCrashes : 0;
-    task.crashedRun = stored.crashedRun <= stored.run ? stored.crashedRun : stored.run - 1;
-    if (possible)
-        return;
-    log(log_level::error, "crash_count_unreadable",
-        { { "job", job.request.id },
-          { "crashes", std::to_string(stored.crashes) },
-          { "crashed_run", std::to_string(stored.crashedRun) },
-          { "run", std::to_string(stored.run) } });
-}
-
-/// Returns false if the job has no such task, or if its progress was applied before.
-bool scheduler::applyTaskProgress(job &job, const task_progress &stored)
-{
-    if (stored.run == 0 || stored.phase > static_cast<std::uint8_t>(task_phase::dropped)
-        || stored.step >= job.request.spec->steps.size()
-        || stored.index >= job.stepSpec(stored.step).count
-        || stored.occurrence >= job.occurrenceCount())
-        return false;
-    while (job.occurrences.size() <= stored.occurrence) {
-        if (!appendOccurrence(job, static_cast<std::uint32_t>(job.occurrences.size())))
-            return false;
-    }
-    step_run &step = job.occurrences[stored.occurrence].steps[stored.step];
-    task &task = step.tasks[stored.index];
-    if (task.run != 0)
-        return false;
-    task.phase = static_cast<task_phase>(stored.phase);
-    task.run = stored.run;
-    task.failures = stored.failures;
-    applyStoredCrashes(job, task, stored);
-    task.crashedAt = m_takeover;
-    task.orderedAt = m_takeover;
-    task.place = { stored.worker, stored.workerStartMs };
-    task.checkpoint = stored.checkpoint;
-    job.started = true;
-    if (task.phase != task_phase::waiting)
-        --step.waiting;
-    if (task.phase == task_phase::done)
-        ++step.done;
-    job.begun = job.begun || task.phase == task_phase::done;
-    if (task.phase != task_phase::active)
-        return true;
-    ++step.active;
-    auto &entry = m_workers[task.place];
-    if (!entry) {
-        entry = std::make_unique<worker>();
-        entry->key = task.place;
-        entry->agent = stored.node;
-    }
-    const task_name name{ job.request.id, stored.occurrence, stored.step, stored.index };
-    allocation allocation = allocationFor(job.stepSpec(stored.step), task.run);
-    allocation.trial = task.needsTrial();
-    entry->reserve(name.text(), allocation);
-    return true;
-}
-
-void scheduler::applyProgress(job &job, const progress &record)
-{
-    const bool knownOutcome = record.outcome <= static_cast<std::uint8_t>(job_outcome::cancelled);
-    if (knownOutcome)
-        job.outcome = static_cast<job_outcome>(record.outcome);
-    job.endedMs = record.endedMs;
-    std::size_t skipped = 0;
-    for (const auto &stored : record.tasks)
-        skipped += applyTaskProgress(job, *stored) ? 0 : 1;
-    if (skipped > 0 || !knownOutcome) {
-        log(log_level::error, "progress_unreadable",
-            { { "job", job.request.id },
-              { "skipped_tasks", std::to_string(skipped) },
-              { "known_outcome", knownOutcome ? "yes" : "no" } });
-    }
-    for (occurrence &occurrence : job.occurrences) {
-        occurrence.doneSteps = static_cast<std::uint32_t>(
-                std::count_if(occurrence.steps.begin(), occurrence.steps.end(),
-                              [](const step_run &step) { return step.done == step.tasks.size(); }));
-    }
-}
-
-progress scheduler::progressOf(const job &job) const
-{
-    progress record;
-    record.outcome = static_cast<std::uint8_t>(job.outcome);
-    record.endedMs = job.endedMs;
-    for (const occurrence &occurrence : job.occurrences) {
-        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto &tasks = occurrence.steps[step].tasks;
-            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                const task &task = tasks[index];
-                const bool active = task.phase == task_phase::active;
-                if (task.run == 0 || (job.ended() && !active))
-                    continue;
-                auto stored = std::make_unique<task_progress>();
-                stored->occurrence = occurrence.number;
-                stored->step = step;
-                stored->index = index;
-                stored->phase = static_cast<std::uint8_t>(task.phase);
-                stored->run = task.run;
-                stored->failures = task.failures;
-                stored->crashes = task.crashes;
-                stored->crashedRun = task.crashedRun;
-                stored->conclusiveCrashes = task.conclusiveCrashes;
-                // The end of a waiting task's last run may still arrive.
-                if (active || task.phase == task_phase::waiting) {
-                    stored->worker = task.place.id;
-                    stored->workerStartMs = task.place.startMs;
-                }
-                if (active) {
-                    const auto found = m_workers.find(task.place);
-                    if (found != m_workers.end())
-                        stored->node = found->second->agent;
-                }
-                if (task.phase != task_phase::done)
-                    stored->checkpoint = task.checkpoint;
-                record.tasks.push_back(std::move(stored));
-            }
-        }
-    }
-    return record;
-}
-
 void scheduler::stepDone(job &job, occurrence &affected)
 {
     ++affected.doneSteps;
@@ -325,7 +204,9 @@
             ++entry;
             continue;
         }
-        m_removedKeys.push_back(job.request.id);
+        // A submission without progress would count as one whose tasks have never started.
+        m_removedKeys.push_back(submissionPrefix + job.request.id);
+        removeProgressRecords(job);
         m_queueRecordsDue = true;
         entry = m_jobs.erase(entry);
     }
@@ -395,7 +276,7 @@
 void scheduler::submit(const std::string &node, const client_call &call, instant now,
                        std::int64_t wallMs)
 {
-    if (const std::string problem = problemOf(call); !problem.empty()) {
+    if (const std::string problem = problemOf(call, m_options.store); !problem.empty()) {
         log(log_level::warning, "job_unreadable", { { "job", call.job }, { "problem", problem } });
         answer(node, call.number, call_outcome::rejected, nullptr, false);
         return;
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -1,3 +1,4 @@
+#include "plantainpitch/sched/message_limits.h"
 #include "plantainpitch/sched/scheduler.h"
 
 #include "plantainpitch/sched/worker_health.h"
@@ -143,7 +144,8 @@
     task.reported = false;
     task.orderedAt = now;
     job.started = true;
-    agent_orders &orders = ordersFor(worker);
+    agent_orders &orders = ordersFor(worker, orderOverheadBytes + job.request.spec->payload.size()
+                                                     + task.checkpoint.size());
     allocation allocation = allocationFor(spec, run);
     allocation.orderNumber = orders.number;
     allocation.trial = task.needsTrial();
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -1,5 +1,7 @@
 #include "plantainpitch/sched/scheduler.h"
 
+#include "plantainpitch/sched/job_limits.h"
+#include "plantainpitch/sched/message_limits.h"
 #include "plantainpitch/sched/worker_health.h"
 
 #include <algorithm>
@@ -48,16 +50,21 @@
         m_passNeeded = true;
 }
 
-agent_orders &scheduler::ordersFor(worker &worker)
+/// Returns the orders to which another one, of about \a bytes, can be added.
+agent_orders &scheduler::ordersFor(worker &worker, std::size_t bytes)
 {
-    agent_orders &orders = m_staged.orders[worker.agent];
+    staged_orders &staged = m_staged.orders[worker.agent];
     // Orders for an earlier incarnation of the worker do not apply to the next one.
-    if (orders.number == 0 || orders.workerStartMs != worker.key.startMs) {
-        orders = {};
-        orders.workerStartMs = worker.key.startMs;
-        orders.number = ++m_lastOrders;
+    if (!staged.messages.empty() && staged.messages.back().workerStartMs != worker.key.startMs)
+        staged = {};
+    if (staged.messages.empty() || staged.lastBytes + bytes > maxOrderBytes) {
+        agent_orders &added = staged.messages.emplace_back();
+        added.workerStartMs = worker.key.startMs;
+        added.number = ++m_lastOrders;
+        staged.lastBytes = 0;
     }
-    return orders;
+    staged.lastBytes += bytes;
+    return staged.messages.back();
 }
 
 void scheduler::orderStop(worker &worker, const std::string &name, std::uint32_t run)
@@ -70,7 +77,7 @@
     auto stop = std::make_unique<run_ref>();
     stop->task = name;
     stop->run = run;
-    ordersFor(worker).stops.push_back(std::move(stop));
+    ordersFor(worker, orderOverheadBytes).stops.push_back(std::move(stop));
 }
 
 void scheduler::requeue(const task_location &location)
@@ -190,6 +197,14 @@
 {
     if (checkpoint.empty())
         return;
+    const std::size_t accepted = maxCheckpointBytes(m_options.store.recordBytes);
+    if (checkpoint.size() > accepted) {
+        log(log_level::error, "checkpoint_too_long",
+            { { "job", location.parentJob->request.id },
+              { "bytes", std::to_string(checkpoint.size()) },
+              { "accepted", std::to_string(accepted) } });
+        return;
+    }
     const auto step =
             static_cast<std::uint32_t>(location.step - location.parentOccurrence->steps.data());
     if (!location.parentJob->stepSpec(step).gang) {
--- a/src/libsched/scheduler_sharing.cpp
+++ b/src/libsched/scheduler_sharing.cpp
@@ -1,3 +1,4 @@
+#include "plantainpitch/sched/message_limits.h"
 #include "plantainpitch/sched/scheduler.h"
 
 #include <algorithm>
@@ -44,7 +45,7 @@
     description->targetMs = spec.targetMs;
     description->fills = spec.fills;
     description->disturbance = static_cast<float>(disturbance(m_disturbances, worker, spec));
-    ordersFor(worker).describes.push_back(std::move(description));
+    ordersFor(worker, orderOverheadBytes).describes.push_back(std::move(description));
 }
 
 /// Sends the agent new disturbance estimates for its filling runs after another image has begun to
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -234,7 +234,7 @@
     if (report.lapsed)
         requeueLostRuns(worker, "leases_ended");
     if (lastEnd > 0) {
-        agent_orders &orders = ordersFor(worker);
+        agent_orders &orders = ordersFor(worker, 0);
         orders.endsNoted = std::max(orders.endsNoted, lastEnd);
     }
     if (report.complete) {
