Take runs of lost workers as lost without a majority of the agents

Cause: the owner took no runs as lost unless more than half of the known agents were connected, so that an earlier owner which the store does not reach cannot extend leases meanwhile. Agents that were gone counted for 20 s.

Agents report the epoch under which their worker has listed its runs; for a worker with the epoch of the owner the end of its leases is enough. Workers that the owner has never reached still need the majority. A node that stops removes its announcement and is not counted any more.

--- a/src/include/plantainpitch/fleet/member_dialer.h
+++ b/src/include/plantainpitch/fleet/member_dialer.h
@@ -37,6 +37,9 @@
     ~member_dialer();
 
     void add(const sched::member &member);
+    /// The member's announcement has been removed. Once its connection has closed, it is not among
+    /// agents() any more, until it answers or announces itself again.
+    void onLeft(const std::string &address);
     /// Does nothing if the member with the name \a node is not connected.
     void send(const std::string &node, const sched::message &content);
     /// Sends to all connected agents, or to all connected gateways if \a agents is false.
@@ -44,6 +47,7 @@
     /// Sends all queued messages and closes all connections.
     void close();
 
+    /// Nodes of the agents that exist, connected or not.
     [[nodiscard]] std::vector<std::string> agents() const;
 
 private:
--- a/src/include/plantainpitch/sched/partition_store.h
+++ b/src/include/plantainpitch/sched/partition_store.h
@@ -48,11 +48,14 @@
     load(std::function<void(bool answered, std::vector<stored_record> records)> done) = 0;
     /// Announces this process to the owner of the partition.
     virtual void announce(const member &self, std::function<void(bool answered)> done) = 0;
-    /// Follows the announcements, from the oldest kept, until stopFollowing().
-    virtual void followMembers(std::function<void(member)> found) = 0;
+    /// Follows the announcements, from the oldest kept, until stopFollowing(). \a left is called
+    /// with the address of each member whose announcement is removed.
+    virtual void followMembers(std::function<void(member)> found,
+                               std::function<void(const std::string &address)> left) = 0;
     virtual void stopFollowing() = 0;
-    /// Removes the announcement of a process that is gone.
-    virtual void forget(const std::string &address) = 0;
+    /// Removes the announcement of a process that is gone, or that is about to end and has closed
+    /// its endpoint. No earlier owner can reach it then.
+    virtual void forget(const std::string &address, std::function<void()> done) = 0;
 };
 
 } // namespace plantainpitch::sched
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -96,6 +96,8 @@
     bool ready = false; ///< not draining
     bool responsive = false;
     bool connected = false; ///< the agent is connected and its runs are known
+    /// It has answered a call of this owner, so that no earlier owner can extend its leases.
+    bool fenced = false;
     /// The last instant at which a lease of this incarnation may be valid.
     instant leasedUntil{};
     std::map<std::string, allocation> runs; ///< by task name
--- a/src/libfleet/member_dialer.cpp
+++ b/src/libfleet/member_dialer.cpp
@@ -29,6 +29,7 @@
     bool open = false; ///< the member has replied to the hello
     std::chrono::milliseconds backoff = initialRetryDelay;
     steady::time_point lastSeen = steady::now();
+    bool left = false; ///< its announcement has been removed since it last answered
     bool removed = false;
 };
 
@@ -52,6 +53,7 @@
         if (!existing->second->open)
             existing->second->member = member;
         existing->second->lastSeen = steady::now();
+        existing->second->left = false;
         return;
     }
     auto target = std::make_shared<peer>(m_context);
@@ -60,6 +62,13 @@
     connect(target);
 }
 
+void member_dialer::onLeft(const std::string &address)
+{
+    const auto found = m_peersByAddress.find(address);
+    if (found != m_peersByAddress.end())
+        found->second->left = true;
+}
+
 void member_dialer::connect(const std::shared_ptr<peer> &target)
 {
     auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
@@ -113,6 +122,7 @@
         target->member.node = hello->node;
         target->member.isAgent = hello->isAgent;
         target->open = true;
+        target->left = false;
         target->backoff = initialRetryDelay;
         m_peersByNode[target->member.node] = target;
         m_callbacks.opened(target->member);
@@ -173,7 +183,7 @@
 {
     std::vector<std::string> nodes;
     for (const auto &[address, target] : m_peersByAddress) {
-        if (target->member.isAgent)
+        if (target->member.isAgent && (target->open || !target->left))
             nodes.push_back(target->member.node);
     }
     return nodes;
--- a/src/libfleet/member_dialer_test.cpp
+++ b/src/libfleet/member_dialer_test.cpp
@@ -57,3 +57,50 @@
     BOOST_TEST(dialer.agents() == expected, boost::test_tools::per_element());
     endpoint.close();
 }
+
+// Guards against agents that have left and still count for the majority that an owner needs: more
+// than half of them gone, nothing that ran there was started elsewhere for 20 s.
+BOOST_AUTO_TEST_CASE(aMemberThatHasLeftCountsNoMoreOnceItsConnectionHasClosed)
+{
+    boost::asio::io_context context;
+    const std::uint16_t port = freePort();
+    fleet::member_endpoint endpoint(
+            context, { .address = "127.0.0.1", .port = port, .node = "agent", .isAgent = true },
+            { .opened = [](const sched::owner_hello & /*hello*/) { return true; },
+              .ready = [] {},
+              .received = [](const sched::message & /*content*/) {},
+              .closed = [] {},
+              .failed = [](const std::string & /*problem*/) {} });
+    endpoint.start();
+    bool opened = false;
+    fleet::member_dialer dialer(
+            context, {},
+            { .opened = [&opened](const sched::member & /*member*/) { opened = true; },
+              .closed = [](const sched::member & /*member*/) {},
+              .received = [](const sched::member & /*member*/,
+                             const sched::message & /*content*/) {},
+              .removed = [](const sched::member & /*member*/) {},
+              .failed = [](const std::string & /*problem*/) {} });
+    const auto runWhile = [&context](const auto &condition) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (condition() && std::chrono::steady_clock::now() < end)
+            context.run_one_for(std::chrono::milliseconds(100));
+    };
+    sched::member entry;
+    entry.node = "agent";
+    entry.address = "127.0.0.1:" + std::to_string(port);
+    entry.isAgent = true;
+    dialer.add(entry);
+    runWhile([&opened] { return !opened; });
+    BOOST_REQUIRE(opened);
+    dialer.onLeft(entry.address);
+    BOOST_TEST(dialer.agents().size() == 1U); // it still answers
+    endpoint.close();
+    runWhile([&dialer] { return !dialer.agents().empty(); });
+    BOOST_TEST(dialer.agents().empty());
+    // A process that starts again at the address announces itself.
+    dialer.add(entry);
+    BOOST_TEST(dialer.agents().size() == 1U);
+    dialer.onLeft(entry.address);
+    BOOST_TEST(dialer.agents().empty());
+}
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -196,17 +196,22 @@
                                 writeLog(
                                         log_level::warning, "member_removed",
                                         { { "node", member.node }, { "address", member.address } });
-                                m_store.forget(member.address);
+                                m_store.forget(member.address, [] {});
                             },
                     .failed =
                             [this](const std::string &problem) {
                                 writeLog(log_level::error, "member_message_unreadable",
                                          { { "problem", problem } });
                             } });
-    m_store.followMembers([this, currentPtr](const sched::member &member) {
-        if (m_ownership.get() == currentPtr)
-            currentPtr->members->add(member);
-    });
+    m_store.followMembers(
+            [this, currentPtr](const sched::member &member) {
+                if (m_ownership.get() == currentPtr)
+                    currentPtr->members->add(member);
+            },
+            [this, currentPtr](const std::string &address) {
+                if (m_ownership.get() == currentPtr)
+                    currentPtr->members->onLeft(address);
+            });
 }
 
 void owner_process::onMessage(const std::shared_ptr<ownership> &current, const sched::member &from,
--- a/src/libfleet/owner_process_test.cpp
+++ b/src/libfleet/owner_process_test.cpp
@@ -37,9 +37,11 @@
     {
         done(true);
     }
-    void followMembers(std::function<void(sched::member)> /*found*/) override {}
+    void followMembers(std::function<void(sched::member)> /*found*/,
+                       std::function<void(const std::string &)> /*left*/) override
+    {}
     void stopFollowing() override {}
-    void forget(const std::string & /*address*/) override {}
+    void forget(const std::string & /*address*/, std::function<void()> done) override { done(); }
 
     bool ownsPartition = true;
     std::vector<sched::stored_record> records;
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -30,6 +30,7 @@
     m_endsNoted = 0;
     m_listingReceived = false;
     m_endsBeyondListing = false;
+    m_workerFence = 0;
 }
 
 bool agent::workerAnnounced(const worker_info &info, std::int64_t clockMs, instant now)
@@ -231,6 +232,7 @@
     content.responsive = m_responsive;
     content.lapsed = m_lapsed;
     content.vacant = isVacant(now);
+    content.workerFence = m_workerFence;
     if (m_worker && !m_workerReported) {
         content.worker = std::make_unique<worker_info>(*m_worker);
         m_workerReported = true;
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -545,4 +545,29 @@
     BOOST_TEST(reports.front().ended.front()->task == "a.0.0.0");
 }
 
+// Guards against an owner that takes a worker for fenced that has only answered an earlier owner.
+BOOST_AUTO_TEST_CASE(theFenceIsReportedOnceTheWorkerHasListedItsRunsUnderIt)
+{
+    granted_agent f;
+    const auto reportedFence = [&f] {
+        f.now += milliseconds(1'000);
+        f.subject.tick(f.now);
+        return f.subject.takeReports().back().workerFence;
+    };
+    BOOST_TEST(reportedFence() == 0U);
+    f.listNothing(5);
+    BOOST_TEST(reportedFence() == 3U);
+    sched::owner_hello hello;
+    hello.epoch = 4;
+    hello.termMs = 5'500;
+    BOOST_TEST(f.subject.ownerOpened(hello, f.now));
+    f.listNothing(5); // answers a hold of the earlier owner
+    BOOST_TEST(reportedFence() == 3U);
+    f.listNothing(5);
+    BOOST_TEST(reportedFence() == 4U);
+    f.info.startMs = 6;
+    f.subject.workerAnnounced(f.info, 10, f.now);
+    BOOST_TEST(reportedFence() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -238,6 +238,7 @@
     if (restarted)
         return;
     m_lastAlive = now;
+    m_workerFence = std::max(m_workerFence, call.fence);
     m_runsWhenSilent.clear();
     if (!m_responsive || m_lapsed) {
         m_responsive = true;
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "plantainpitch/sched/scheduler.h"
 
 #include "plantainpitch/model/error.h"
+#include "plantainpitch/sched/record_keys.h"
 
 #include <algorithm>
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-constexpr char submissionPrefix = 'j';
-constexpr char progressPrefix = 'p'; // as in scheduler_progress.cpp
-constexpr char queuePrefix = 'q';
 /// Retries and scheduled occurrences become due without an event, so passes also run periodically.
 constexpr std::chrono::milliseconds passInterval{ 250 };
 constexpr std::chrono::seconds stateLogInterval{ 10 };
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -2,6 +2,7 @@
 
 #include "plantainpitch/model/error.h"
 #include "plantainpitch/sched/job_limits.h"
+#include "plantainpitch/sched/record_keys.h"
 
 #include <algorithm>
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr char submissionPrefix = 'j'; // as in scheduler.cpp
 /// Retry delay for clients whose call arrives before the queues are known.
 constexpr std::chrono::milliseconds notReadyRetry{ 300 };
 /// A store that has failed for this long counts as down, and new jobs are not accepted.
--- a/src/libsched/scheduler_progress.cpp
+++ b/src/libsched/scheduler_progress.cpp
@@ -1,5 +1,6 @@
 #include "plantainpitch/model/error.h"
 #include "plantainpitch/sched/job_limits.h"
+#include "plantainpitch/sched/record_keys.h"
 #include "plantainpitch/sched/scheduler.h"
 
 #include <algorithm>
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr char progressPrefix = 'p';
 /// Between the job's id and the number of a further record.
 constexpr char numberSeparator = '.';
 
--- a/src/libsched/scheduler_queues.cpp
+++ b/src/libsched/scheduler_queues.cpp
@@ -1,11 +1,11 @@
 #include "plantainpitch/model/error.h"
+#include "plantainpitch/sched/record_keys.h"
 #include "plantainpitch/sched/scheduler.h"
 
 namespace plantainpitch::sched {
 
 namespace {
 
-constexpr char queuePrefix = 'q';
 /// The store's keys have at most 255 bytes, one of which is the prefix.
 constexpr std::size_t maxNameBytes = 254;
 
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -224,6 +224,7 @@
     if (report.responsive != worker.responsive)
         m_passNeeded = true;
     worker.responsive = report.responsive;
+    worker.fenced = worker.fenced || report.workerFence >= m_options.epoch;
     std::uint64_t lastEnd = 0;
     for (const auto &end : report.ended) {
         onRunEnd(worker, *end, now);
@@ -299,14 +300,17 @@
     worker->leasedUntil = std::max(worker->leasedUntil, now + term + m_options.leaseMargin);
 }
 
+/// Takes the runs of workers whose leases have ended as lost. An earlier owner that the store does
+/// not reach goes on granting leases while it is connected to a majority of the agents, to workers
+/// that have not answered a call of this owner. A later owner does no harm: no start of this one is
+/// stored after the epoch of the later one has begun.
 void scheduler::removeLostWorkers(instant now)
 {
-    // Another owner might still grant leases to agents that this one does not reach.
-    if (!hasMajority())
-        return;
+    const bool earlierOwnerHasEnded = hasMajority();
     for (auto each = m_workers.begin(); each != m_workers.end();) {
         worker &worker = *each->second;
-        if (worker.connected || now < worker.leasedUntil) {
+        const bool mayBeExtended = !earlierOwnerHasEnded && !worker.fenced;
+        if (worker.connected || now < worker.leasedUntil || mayBeExtended) {
             ++each;
             continue;
         }
