--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -46,7 +46,10 @@
         log(log_level::info, "worker_announced",
             { { "worker", info.id },
               { "start_ms", std::to_string(info.startMs) },
-              { "service", info.service } });
+              { "service", info.service },
+              { "replaces", m_worker ? m_worker->id : "" },
+              { "replaced_start_ms", std::to_string(m_worker ? m_worker->startMs : 0) },
+              { "runs_given_up", std::to_string(m_runs.size()) } });
         // Another incarnation without a notice of the last one's end.
         if (m_worker)
             recordCrash(now);
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -102,6 +102,13 @@
             ++each;
             continue;
         }
+        log(log_level::info, "worker_replaced",
+            { { "node", node },
+              { "worker", other.key.id },
+              { "start_ms", std::to_string(other.key.startMs) },
+              { "successor", current.key.id },
+              { "successor_start_ms", std::to_string(current.key.startMs) },
+              { "runs", std::to_string(other.runs.size()) } });
         countUnreportedCrash(other, now);
         if (other.key.id == current.key.id)
             transferUnconfirmedRuns(other, current);
