End a worker's incarnation only on what the worker itself answers

Callers saw tasks run twice, or start again after an end that had been noted, beside workers that were up all the while.

Cause: an agent took each readable announcement of another id, of a later start or without a start as a restart of its worker, gave up the runs of the incarnation at work and told the owner, which started them elsewhere at once. A node that had just started believed the first announcement it got. An announced end (DELETE) names only an id and did the same. The clock in an announcement was the base of leases. Crash evidence was recorded on the same grounds.

An announcement now makes a candidate. The agent asks the worker at its own address, which the settings name, with a call that names the id, extends no lease and discards no ends. The answer names the incarnation: only that one is taken, and only then the last one is over. Until then the owner hears nothing of the candidate. If the worker does not answer, the runs hold until their leases have ended. An announced end stops new starts; the runs are lost when the worker's address refuses connections or their leases end. Lease times are based on the clocks in answers alone. A listing that does not name its incarnation counts as no answer. What is known of an incarnation is one immutable value, worker_life.

The owner no longer guesses by start times which of two incarnations is the later one: an agent names only one that is confirmed, so the others beside it are over.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -291,7 +291,7 @@
 
     // scheduler_workers.cpp
     void transferUnconfirmedRuns(worker &previousIncarnation, worker &nextIncarnation);
-    void removeEarlierIncarnations(const std::string &node, worker &current, instant now);
+    void removeFormerIncarnations(const std::string &node, worker &current, instant now);
     worker &updateWorker(const std::string &node, const worker_info &info, instant now);
     void reconcile(worker &worker, const agent_report &report, instant now);
     void processAdvice(const agent_report &report, instant now);
--- a/src/include/plantainpitch/sched/worker_call.h
+++ b/src/include/plantainpitch/sched/worker_call.h
@@ -9,13 +9,19 @@
 
 namespace plantainpitch::sched {
 
-enum class worker_call_kind : std::uint8_t { start, stop, hold, pace };
+enum class worker_call_kind : std::uint8_t {
+    start,
+    stop,
+    hold,
+    pace,
+    identify, ///< asks for the incarnation and its runs; changes nothing but the fence
+};
 
 /// A call from an agent to its worker.
 struct worker_call
 {
     worker_call_kind kind = worker_call_kind::hold;
-    std::uint64_t number = 0; ///< sequence number of an agent's holds
+    std::uint64_t number = 0; ///< sequence number of an agent's holds, or of its questions
     std::string workerId; ///< only that worker may execute it
     std::string task;
     std::uint32_t run = 0;
@@ -42,7 +48,7 @@
 /// Running and ended runs of a worker.
 struct worker_listing
 {
-    std::uint64_t startMs = 0; ///< incarnation; 0: unknown
+    std::uint64_t startMs = 0; ///< incarnation; 0: not named
     std::vector<run_status> running;
     std::vector<run_end> ended; ///< the earliest that the owner has not noted
     /// There may be later ends than those listed, so a run that is not named may have ended.
--- a/src/libfleet/agent_process.cpp
+++ b/src/libfleet/agent_process.cpp
@@ -37,12 +37,11 @@
     flush();
 }
 
-bool agent_process::workerAnnounced(const sched::worker_info &info, std::int64_t clockMs)
+void agent_process::workerAnnounced(const sched::worker_announcement &announced)
 {
-    const bool current = m_agent.workerAnnounced(info, clockMs, m_time.now());
+    m_agent.workerAnnounced(announced, m_time.now());
     m_agent.tick(m_time.now());
     flush();
-    return current;
 }
 
 void agent_process::workerLeft(const std::string &id)
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -33,67 +33,84 @@
     m_workerFence = 0;
 }
 
-bool agent::workerAnnounced(const worker_info &info, std::int64_t clockMs, instant now)
+void agent::workerAnnounced(const worker_announcement &announced, instant now)
 {
-    // Wall clocks jump, so an incarnation that has answered is current whatever its start time.
-    const bool hasAnswered = info.startMs == m_unannouncedStartMs
-                             || (m_replaced && m_worker && info.id != m_worker->id);
-    if (m_worker && info.startMs < m_worker->startMs && !hasAnswered)
-        return false;
-    const bool sameIncarnation =
-            m_worker && m_worker->id == info.id && m_worker->startMs == info.startMs;
-    if (!sameIncarnation) {
-        log(log_level::info, "worker_announced",
-            { { "worker", info.id },
-              { "start_ms", std::to_string(info.startMs) },
-              { "service", info.service },
-              { "replaces", m_worker ? m_worker->id : "" },
-              { "replaced_start_ms", std::to_string(m_worker ? m_worker->startMs : 0) },
-              { "runs_given_up", std::to_string(m_runs.size()) } });
-        // Another incarnation without a notice of the last one's end.
-        if (m_worker)
-            recordCrash(now);
-        resetRuns();
-        m_lastAlive = now;
-        m_unannouncedStartMs = 0;
-        m_replaced = false;
-        m_workerClockMs = 0;
-        m_responsive = true;
-        m_lapsed = false;
-        m_failedHolds = 0;
-        m_notRunningReplies = 0;
-        m_holdPending = false;
-        ++m_holdNumber;
-        m_nextHold = now;
-        // A previous agent process may have granted a lease just before it ended.
-        if (!m_worker)
-            m_latestLeaseEnd = now + m_term;
+    const worker_key key = announced.key();
+    if (m_life && key == m_life->key()) {
+        updateWorker(announced);
+        return;
     }
-    if (clockMs > 0 && m_workerClockMs == 0) {
-        m_workerClockMs = clockMs;
-        m_workerClockAt = now;
+    const bool answeredBefore = m_life && m_life->hasSuccessor() && key.id == m_life->key().id
+                                && key.startMs == m_life->successorStartMs();
+    if (answeredBefore) {
+        adopt(announced, now);
+        return;
     }
-    if (!m_worker || *m_worker != info) {
-        m_worker = info;
-        m_workerReported = false;
-        m_reportDue = true;
-        m_completeReportDue = m_completeReportDue || !sameIncarnation;
+    if (m_candidates.add(announced, now)) {
+        log(log_level::info, "worker_to_be_confirmed",
+            { { "worker", key.id },
+              { "start_ms", std::to_string(key.startMs) },
+              { "service", announced.info.service },
+              { "known", m_life ? m_life->key().id : "" },
+              { "known_start_ms", std::to_string(m_life ? m_life->key().startMs : 0) } });
     }
-    return true;
 }
 
-void agent::workerLeft(const std::string &id, instant /*now*/)
+void agent::updateWorker(const worker_announcement &announced)
 {
-    if (!m_worker || m_worker->id != id)
+    // Announcements can arrive out of order; an older one must not replace a newer one.
+    if (announced.sequence < m_announcementSequence)
         return;
-    log(log_level::info, "worker_left", { { "worker", id } });
-    // Ends that the worker has listed must still be reported to an owner.
-    m_runs.clear();
-    m_runsWhenSilent.clear();
+    m_announcementSequence = announced.sequence;
+    if (*m_worker == announced.info)
+        return;
+    m_worker = announced.info;
+    m_workerReported = false;
+    m_reportDue = true;
+}
+
+/// Takes an incarnation that the worker has confirmed as the known one. The worker runs one
+/// incarnation at a time, so the last one is over.
+void agent::adopt(const worker_announcement &announced, instant now)
+{
+    log(log_level::info, "worker_announced",
+        { { "worker", announced.info.id },
+          { "start_ms", std::to_string(announced.info.startMs) },
+          { "service", announced.info.service },
+          { "replaces", m_worker ? m_worker->id : "" },
+          { "replaced_start_ms", std::to_string(m_worker ? m_worker->startMs : 0) },
+          { "runs_given_up", std::to_string(m_runs.size()) } });
+    if (m_worker)
+        recordCrash(now);
+    resetRuns();
+    m_worker = announced.info;
+    m_life = worker_life(announced.key());
+    m_announcementSequence = announced.sequence;
+    // Their questions were asked before this incarnation answered.
+    m_candidates.clear();
+    m_lastAlive = now;
+    m_failedHolds = 0;
+    m_notRunningReplies = 0;
+    m_holdPending = false;
+    ++m_holdNumber;
+    m_nextHold = now;
+    // A call to the last incarnation, or of an agent process before this one, may have granted a
+    // lease just now.
+    m_latestLeaseEnd = std::max(m_latestLeaseEnd, now + m_term);
+    m_workerReported = false;
+    m_reportDue = true;
+    m_completeReportDue = true;
+}
+
+void agent::workerLeft(const std::string &id, instant now)
+{
+    if (!m_life || m_life->key().id != id || m_life->isOver())
+        return;
+    log(log_level::info, "worker_leaving",
+        { { "worker", id }, { "runs", std::to_string(m_runs.size()) } });
     m_worker->ready = false;
     m_workerReported = false;
-    m_responsive = false;
-    m_lapsed = true;
+    m_nextHold = now;
     m_reportDue = true;
 }
 
@@ -152,7 +169,7 @@
         m_endsNoted = orders.endsNoted;
         m_ends.erase(m_ends.begin(), m_ends.upper_bound(m_endsNoted));
     }
-    const bool current = sameIncarnation && !m_lapsed;
+    const bool current = sameIncarnation && !m_life->isOver();
     for (const auto &stop : orders.stops) {
         if (current)
             stopRun({ stop->task, stop->run }, now);
@@ -203,7 +220,10 @@
 {
     if (!m_firstTick)
         m_firstTick = now;
-    if (m_worker && m_epoch > 0 && m_unannouncedStartMs == 0) {
+    m_candidates.removeExpired(now);
+    if (m_epoch > 0)
+        askCandidates(now);
+    if (m_life && m_epoch > 0 && !m_life->hasSuccessor()) {
         if (!m_holdPending && now >= m_nextHold)
             sendHold(now);
         for (auto &[key, state] : m_runs) {
@@ -212,7 +232,7 @@
         }
     }
     // No holds are sent to a restarted worker before its announcement, which may never come.
-    if (m_worker && m_unannouncedStartMs != 0 && !m_lapsed && leasesEnded(now))
+    if (m_life && m_life->hasSuccessor() && !m_life->isOver() && leasesEnded(now))
         lapse("not_announced");
     if (m_ownerConnected && (m_reportDue || now - m_lastReport >= m_options.reportInterval))
         report(now);
@@ -224,7 +244,8 @@
 {
     const auto term = std::max<duration>(m_term, m_options.term);
     const auto maxDrift = std::chrono::duration_cast<duration>(term * m_options.clockDrift);
-    return !m_worker && m_firstTick && now - *m_firstTick > term + maxDrift + m_options.leaseMargin;
+    return !m_life && m_candidates.empty() && m_firstTick
+           && now - *m_firstTick > term + maxDrift + m_options.leaseMargin;
 }
 
 void agent::report(instant now)
@@ -232,8 +253,8 @@
     agent_report content;
     content.sentUs = now.time_since_epoch().count();
     content.ordersSeen = m_ordersSeen;
-    content.responsive = m_responsive;
-    content.lapsed = m_lapsed;
+    content.responsive = m_life && m_life->isAnswering();
+    content.lapsed = m_life && m_life->isOver();
     content.vacant = isVacant(now);
     content.workerFence = m_workerFence;
     if (m_worker && !m_workerReported) {
@@ -254,7 +275,7 @@
     // The running tasks are unknown before the first listing.
     const bool due =
             m_completeReportDue || now - m_lastComplete >= m_options.completeReportInterval;
-    if (due && m_worker && (m_listingReceived || m_lapsed)) {
+    if (due && m_life && (m_listingReceived || m_life->isOver())) {
         m_completeReportDue = false;
         m_lastComplete = now;
         reportAllRuns(content, now);
@@ -317,7 +338,7 @@
 /// Records that the present incarnation has ended, unless it had no runs or had announced its end.
 void agent::recordCrash(instant now)
 {
-    std::vector<crash_history::run> runs = m_lapsed ? m_runsWhenSilent : runsAtLastSign();
+    std::vector<crash_history::run> runs = m_life->isOver() ? m_runsWhenSilent : runsAtLastSign();
     m_runsWhenSilent.clear();
     if (runs.empty() || !m_worker->ready)
         return;
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -62,8 +62,8 @@
     const run_key key{ order.task, order.run };
     if (m_runs.count(key) > 0)
         return;
-    if (!m_worker->ready || m_unannouncedStartMs != 0) {
-        refuse(key, m_unannouncedStartMs != 0 ? workerGoneReason : "draining");
+    if (!m_worker->ready || m_life->hasSuccessor()) {
+        refuse(key, m_life->hasSuccessor() ? workerGoneReason : "draining");
         return;
     }
     if (leaseEnd() - now < m_options.minLease || m_workerClockMs == 0) {
@@ -168,8 +168,52 @@
     m_calls.push_back(std::move(holdCall));
 }
 
+void agent::askCandidates(instant now)
+{
+    for (const worker_candidates::question &each : m_candidates.takeQuestions(now)) {
+        worker_call identify = call(worker_call_kind::identify);
+        identify.number = each.number;
+        identify.workerId = each.workerId;
+        m_calls.push_back(std::move(identify));
+    }
+}
+
+/// Decides on an announced incarnation by what the worker at this agent's address answers.
+void agent::onIdentifyReply(const worker_call &call, const worker_reply &reply, instant now)
+{
+    const auto candidate = m_candidates.find(call.number);
+    if (!candidate)
+        return;
+    const bool answered = reply.kind == worker_reply_kind::accepted && reply.listing;
+    const bool anotherWorker =
+            reply.kind == worker_reply_kind::refused && reply.reason == workerGoneReason;
+    if (!answered && !anotherWorker) {
+        m_candidates.onInconclusiveAnswer(call.number, now);
+        return;
+    }
+    if (anotherWorker || reply.listing->startMs != candidate->info.startMs) {
+        log(log_level::warning, "announcement_not_confirmed",
+            { { "worker", candidate->info.id },
+              { "start_ms", std::to_string(candidate->info.startMs) },
+              { "answer", anotherWorker ? workerGoneReason : "other_incarnation" },
+              { "answered_start_ms", std::to_string(answered ? reply.listing->startMs : 0) },
+              { "known", m_life ? m_life->key().id : "" } });
+        m_candidates.take(candidate->key());
+        return;
+    }
+    adopt(*candidate, now);
+    m_workerClockMs = 0;
+    recordWorkerClock(reply.clockMs, now);
+    m_workerFence = call.fence;
+    onListing(*reply.listing, m_holdNumber, now);
+}
+
 void agent::onReply(const worker_call &call, const worker_reply &reply, instant now)
 {
+    if (call.kind == worker_call_kind::identify) {
+        onIdentifyReply(call, reply, now);
+        return;
+    }
     if (!m_worker || call.workerId != m_worker->id)
         return;
     switch (call.kind) {
@@ -193,6 +237,8 @@
     case worker_call_kind::pace:
         onPaceReply(call, reply, now);
         break;
+    case worker_call_kind::identify: // see above
+        break;
     }
 }
 
@@ -223,26 +269,29 @@
     if (call.number != m_holdNumber)
         return; // of an earlier incarnation
     m_holdPending = false;
-    if (reply.kind != worker_reply_kind::accepted || !reply.listing) {
+    const bool listed = reply.kind == worker_reply_kind::accepted && reply.listing;
+    const bool namesIncarnation =
+            listed && (reply.listing->startMs != 0 || m_life->key().startMs == 0);
+    if (listed && !namesIncarnation)
+        log(log_level::error, "listing_without_incarnation", { { "worker", m_worker->id } });
+    if (!namesIncarnation) {
         onUnreachable(reply, now);
         m_nextHold = now + holdRetryInterval;
         return;
     }
     recordWorkerClock(reply.clockMs, now);
     const worker_listing &listing = *reply.listing;
-    const bool restarted = listing.startMs != 0 && listing.startMs != m_worker->startMs;
-    if (restarted)
-        awaitAnnouncement(listing.startMs, now);
+    if (listing.startMs != m_life->key().startMs)
+        onSuccessor(listing.startMs, now);
     m_failedHolds = 0;
     m_notRunningReplies = 0;
-    if (restarted)
+    if (m_life->hasSuccessor())
         return;
     m_lastAlive = now;
     m_workerFence = std::max(m_workerFence, call.fence);
     m_runsWhenSilent.clear();
-    if (!m_responsive || m_lapsed) {
-        m_responsive = true;
-        m_lapsed = false;
+    if (!m_life->isAnswering()) {
+        m_life = m_life->answered();
         m_reportDue = true;
         m_completeReportDue = true;
     }
@@ -250,17 +299,19 @@
     onListing(listing, m_holdNumber, now);
 }
 
-/// Handles a restarted worker, whose capacity is unknown until it announces itself.
-void agent::awaitAnnouncement(std::uint64_t startMs, instant now)
+/// Handles the answer of another incarnation under the id of the known one. Until it announces
+/// itself, its capacity is unknown.
+void agent::onSuccessor(std::uint64_t startMs, instant now)
 {
     log(log_level::info, "worker_restarted",
         { { "worker", m_worker->id }, { "start_ms", std::to_string(startMs) } });
     recordCrash(now);
     // A start or hold that was sent to the last incarnation may have reached this one just now.
     m_latestLeaseEnd = std::max(m_latestLeaseEnd, now + m_term);
-    m_unannouncedStartMs = startMs;
-    m_responsive = false;
+    m_life = m_life->succeededBy(startMs);
     m_reportDue = true;
+    if (const auto announced = m_candidates.take({ .id = m_worker->id, .startMs = startMs }))
+        adopt(*announced, now);
 }
 
 void agent::onUnreachable(const worker_reply &reply, instant now)
@@ -272,18 +323,17 @@
             m_lastAlive = now;
     }
     ++m_failedHolds;
-    m_replaced = m_replaced || reply.reason == workerGoneReason;
     m_notRunningReplies =
             reply.kind == worker_reply_kind::not_running ? m_notRunningReplies + 1 : 0;
-    if (m_responsive) {
-        m_responsive = false;
+    if (m_life->isAnswering()) {
+        m_life = m_life->unanswered();
         m_reportDue = true;
         log(log_level::warning, "worker_unresponsive", { { "worker", m_worker->id } });
     }
     const bool processEnded = m_notRunningReplies >= notRunningRepliesUntilLost;
     if (processEnded)
         recordCrash(now);
-    if (m_lapsed || (!leasesEnded(now) && !processEnded))
+    if (m_life->isOver() || (!leasesEnded(now) && !processEnded))
         return;
     if (!processEnded)
         m_runsWhenSilent = runsAtLastSign();
@@ -304,7 +354,7 @@
         { { "worker", m_worker->id },
           { "runs", std::to_string(m_runs.size()) },
           { "reason", reason } });
-    m_lapsed = true;
+    m_life = m_life->ended();
     m_runs.clear();
     m_reportDue = true;
 }
--- a/src/libsched/fake_fleet_worker.h
+++ b/src/libsched/fake_fleet_worker.h
@@ -151,7 +151,8 @@
             start(call, taskMs, reply);
         if (call.kind == sched::worker_call_kind::stop)
             stop(call);
-        if (call.kind == sched::worker_call_kind::hold)
+        if (call.kind == sched::worker_call_kind::hold
+            || call.kind == sched::worker_call_kind::identify)
             list(call, reply);
         if (call.kind == sched::worker_call_kind::pace)
             setPace(call);
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -88,17 +88,16 @@
     }
 }
 
-void scheduler::removeEarlierIncarnations(const std::string &node, worker &current, instant now)
+/// Removes the other incarnations beside the node. Its agent names only one that the worker has
+/// confirmed, and the worker runs one at a time, whatever their start times.
+void scheduler::removeFormerIncarnations(const std::string &node, worker &current, instant now)
 {
-    const auto mapped = m_workerByNode.find(node);
-    const worker *previous = mapped == m_workerByNode.end() ? nullptr : mapped->second;
     for (auto each = m_workers.begin(); each != m_workers.end();) {
         worker &other = *each->second;
-        const bool sameVm = other.key.id == current.key.id || other.agent == node;
-        const bool replaced =
-                &other != &current
-                && (&other == previous || (sameVm && other.key.startMs < current.key.startMs));
-        if (!replaced) {
+        // Records of earlier releases do not name the agent.
+        const bool sameVm =
+                other.agent == node || (other.agent.empty() && other.key.id == current.key.id);
+        if (&other == &current || !sameVm) {
             ++each;
             continue;
         }
@@ -128,7 +127,10 @@
         entry->capacity = capacityOf(info);
         entry->capacitySince = now;
     }
-    removeEarlierIncarnations(node, *entry, now);
+    removeFormerIncarnations(node, *entry, now);
+    const auto formerNode = m_workerByNode.find(entry->agent);
+    if (formerNode != m_workerByNode.end() && formerNode->second == entry.get())
+        m_workerByNode.erase(formerNode);
     entry->agent = node;
     entry->service = info.service;
     entry->dataCentre = info.dataCentre;
