Start nothing beside adopted runs whose reservations are not known

Workers whose capacity had shrunk got starts that brought them over it (LIMIT): 5,500 of 4,000 mcpu.

Cause: an agent that has just started adopts the runs that its worker lists, and counted nothing for them until the owner had described them. Starts that the owner had planned before, on the former capacity, came first.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -80,7 +80,10 @@
         std::uint32_t targetMs = 0;
         bool fills = false;
         double disturbance = 0; ///< headroom that serving tasks lose because of it
-        resources reserved; ///< of an adopted run: nothing until the owner has described it
+        resources reserved; ///< nothing until it is known
+        /// False for a run that an earlier agent process started, until the owner has told what it
+        /// reserves.
+        bool described = false;
         bool stopPending = false;
         /// Listed by the worker as running; until then it may be on another incarnation, or have
         /// ended.
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -194,6 +194,7 @@
     state.targetMs = description.targetMs;
     state.fills = description.fills;
     state.disturbance = description.disturbance;
+    state.described = true;
     // An owner of an earlier release does not tell what a run reserves.
     if (reservation(description) != resources{})
         state.reserved = reservation(description);
--- a/src/libsched/agent_capacity_test.cpp
+++ b/src/libsched/agent_capacity_test.cpp
@@ -138,6 +138,20 @@
     BOOST_TEST(f.starts("a.0.0.2", 1'000));
 }
 
+// Guards against starts that were planned before a restart of the agent on a capacity that has
+// shrunk since: they arrive before the descriptions of the adopted runs, which counted as nothing.
+BOOST_AUTO_TEST_CASE(nothingStartsBesideAnAdoptedRunBeforeItIsDescribed)
+{
+    agent_with_capacity f;
+    f.list({ "a.0.0.0" });
+    BOOST_TEST(!f.starts("a.0.0.1", 100));
+    BOOST_TEST(f.refusalReason() == "undescribed_runs");
+    auto description = f.orders();
+    description.describes.push_back(agent_with_capacity::run("a.0.0.0", 3'000));
+    f.subject.onOrders(description, f.now);
+    BOOST_TEST(f.starts("a.0.0.1", 100));
+}
+
 // Guards against a worker over its capacity in processors that takes no task that needs none.
 BOOST_AUTO_TEST_CASE(aTaskThatNeedsOnlyMemoryStartsOnAWorkerOverItsProcessors)
 {
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -70,12 +70,22 @@
         refuse(key, "no_grant");
         return;
     }
+    // What they reserve is unknown, and the owner may have planned this start on a capacity that
+    // has shrunk since.
+    const bool undescribed = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+        return entry.second.listed && !entry.second.described;
+    });
+    if (undescribed) {
+        refuse(key, "undescribed_runs");
+        return;
+    }
     if (!fitsBesideRuns(order)) {
         refuse(key, "room");
         return;
     }
     run_state state;
     state.reserved = reservation(order);
+    state.described = true;
     state.targetMs = order.targetMs;
     state.fills = order.fills;
     state.disturbance = order.disturbance;
