Send heartbeats of other writers in the soak

Series of heartbeats now come beside kills, cuts and takeovers, drawn by a generator of their own, so that earlier seeds keep their other faults: other ids, other starts or none, former incarnations, missing and odd fields, unreadable bytes, announced ends; and one that reaches a killed node before its worker's own.

--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -4,19 +4,22 @@
 import threading
 import time
 
+from other_writers import OtherWriters
 from worker import CAPACITY, LATE_S
 
 LONGEST_FAULT_S = 4.0
 MOST_SHRINKS = 2  # in a run
+MOST_HEARTBEATS = 6  # series of other writers in a run
 SHRINK_S = (6.0, 9.0)  # longer than the grace after which starts have to respect a capacity
 SHRUNK_SHARE = (0.1, 0.6)  # of the full capacity
 
 
 class Faults:
     """Carries out `count` faults within `span_s`, each in a thread of its own. A few shrinking
-    workers come on top; `shrinks` draws them, so that earlier seeds keep their other faults."""
+    workers and heartbeats of other writers come on top; `shrinks` and `heartbeats` draw them, so
+    that earlier seeds keep their other faults."""
 
-    def __init__(self, deployment, promises, generator, shrinks, span_s, count):
+    def __init__(self, deployment, promises, generator, shrinks, heartbeats, span_s, count):
         self._deployment = deployment
         self._promises = promises
         self._lock = threading.Lock()
@@ -32,8 +35,14 @@
                 for _ in range(count)]
         plan += [(shrinks.uniform(0, span_s / 2), len(kinds), shrinks.uniform(*SHRINK_S),
                   shrinks.getrandbits(32)) for _ in range(shrinks.randint(0, MOST_SHRINKS))]
+        self._writers = OtherWriters(deployment.workers)
+        self._kinds = kinds + [self.worker_shrink, self.heartbeats, self.first_heartbeat]
+        plan += [(heartbeats.uniform(0, span_s),
+                  self._kinds.index(heartbeats.choice([self.heartbeats, self.heartbeats,
+                                                       self.first_heartbeat])),
+                  heartbeats.uniform(0.5, LONGEST_FAULT_S), heartbeats.getrandbits(32))
+                 for _ in range(heartbeats.randint(2, MOST_HEARTBEATS))]
         self._plan = sorted(plan)
-        self._kinds = kinds + [self.worker_shrink]
 
     def play(self):
         """Returns once the last fault is over."""
@@ -201,5 +210,22 @@
         time.sleep(for_s)
         worker.capacity = dict(CAPACITY)
 
+    def heartbeats(self, for_s, generator):
+        """Another writer's, to the node of one worker."""
+        self._writers.write(for_s, generator)
+
+    def first_heartbeat(self, for_s, generator):
+        """A node is killed, and the first heartbeat that it gets then is another writer's."""
+        process = self._take(generator)
+        if not process:
+            return
+        worker = next((each for each in self._deployment.workers if each.node is process), None)
+        process.kill()
+        time.sleep(for_s / 8)
+        process.start()
+        if worker:
+            self._writers.be_first(worker, generator)
+        process.busy = False
+
     def publish(self, _for_s, _generator):
         self._deployment.publish_config()
--- a/testsuite/soak/worker.py
+++ b/testsuite/soak/worker.py
@@ -42,7 +42,7 @@
         self.name = name
         self.rack = rack
         self.address = address
-        self._node_address = node_address
+        self.node_address = node_address
         self._promises = promises
         self._plan = plan
         self._random = random.Random(seed)
@@ -53,6 +53,8 @@
         self.hangs = False
         self.speed = 1.0
         self.draining = False
+        self.born = 0
+        self.former = []  # a heartbeat of each former incarnation
         self.capacity = dict(CAPACITY)
         self.capacities = [(time.monotonic(), self.capacity)]  # announced ones, with their times
         self.service = None
@@ -65,6 +67,8 @@
     def boot(self):
         """Starts a new incarnation, which knows nothing of before."""
         with self._lock:
+            if self.born:
+                self.former.append(self.peek())
             self.born = int(time.time() * 1000)
             self.started = time.monotonic()
             self.running = {}
@@ -271,6 +275,10 @@
 
     def report(self):
         self.sequence += 1
+        return self.peek()
+
+    def peek(self):
+        """A copy of the last heartbeat."""
         return {"service": "soak", "address": f"{self.address[0]}:{self.address[1]}",
                 "zone": self.rack, "version": "v1", "slots": 8,
                 "state": "draining" if self.draining else "ready", "cold_left_ms": 0,
@@ -282,7 +290,7 @@
             time.sleep(HEARTBEAT_S)
             if not self.service or self.hangs:
                 continue
-            connection = http.client.HTTPConnection(*self._node_address, timeout=1)
+            connection = http.client.HTTPConnection(*self.node_address, timeout=1)
             try:
                 report = self.report()
                 connection.request("PUT", f"/-/instances/{self.name}", json.dumps(report))
