Test fleets at random with announcements of others, late answers and restarts

The fleet model drew restarts and cuts, but its workers were the only ones to announce themselves. The new test draws announcements of other ids, starts and former incarnations, also as the first that a new agent gets, announced ends, listings that reach the agent late, silent workers, restarts under the same or another id with a clock set back, and new owners. No task may run twice, and no job may be lost or fail without crashes of two workers.

--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -48,9 +48,17 @@
             std::int64_t sinceMs = 0;
             sched::resources amount;
         };
+        struct delayed_answer
+        {
+            sched::worker_call call;
+            sched::worker_reply reply;
+            std::int64_t dueMs = 0;
+        };
         bool announcementsHeldUp = false; ///< those of the worker do not reach the agent
+        bool workerSilent = false; ///< the worker does not answer; its runs go on
         bool ordersHeldUp = false; ///< messages to the agent wait on the connection
         std::vector<waiting_call> calls;
+        std::vector<delayed_answer> delayedAnswers;
         std::map<std::string, std::int64_t> orderedMs; ///< sending of the start, by "task run"
         std::vector<announced_capacity> capacities; ///< the current one last
     };
@@ -104,6 +112,7 @@
     {
         closeLink(node);
         node.calls.clear();
+        node.delayedAnswers.clear();
         node.agent = std::make_unique<sched::agent>(sched::agent_options{ .node = node.name });
     }
 
@@ -181,6 +190,7 @@
     std::map<std::string, std::string> stored;
     std::int64_t longRunningMs = taskMs; ///< how long a task of a long-running step runs
     double lostAnswers = 0; ///< share of the calls to workers that are carried out 2 to 12 s late
+    double delayedAnswers = 0; ///< share of the listings that reach the agent up to 0.9 s late
     std::vector<std::string> violations;
     std::vector<write_log> logLines; ///< of all owners
     std::vector<write_log> agentLogLines; ///< of all agents
@@ -244,6 +254,8 @@
     void checkCapacity(node &node, const std::vector<std::string> &started,
                        const sched::resources &used);
     void stepCalls(node &node);
+    void deliverDelayedAnswers(node &node);
+    void answer(node &node, const sched::worker_call &call, const sched::worker_reply &reply);
     [[nodiscard]] std::int64_t durationOf(const std::string &task) const;
     sched::advice adviseOn(const sched::advice_request &request);
     void stepOwner();
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::int64_t storeMs = 20;
 constexpr std::int64_t announceMs = 500;
+/// An agent gives up a call this long after the time that the call asks the worker to wait.
+constexpr std::int64_t callTimeoutMs = 1'000;
 
 std::string runName(const std::string &task, std::uint32_t run)
 {
@@ -178,8 +180,33 @@
     return known && known->stepSpec(name->step).longRunning ? longRunningMs : taskMs;
 }
 
+void fleet_model::deliverDelayedAnswers(node &node)
+{
+    std::vector<node::delayed_answer> answers;
+    answers.swap(node.delayedAnswers);
+    for (node::delayed_answer &each : answers) {
+        if (timeMs < each.dueMs)
+            node.delayedAnswers.push_back(std::move(each));
+        else
+            node.agent->onReply(each.call, each.reply, now());
+    }
+}
+
+void fleet_model::answer(node &node, const sched::worker_call &call,
+                         const sched::worker_reply &reply)
+{
+    if (reply.listing && delayedAnswers > 0
+        && std::uniform_real_distribution<>(0, 1)(random) < delayedAnswers) {
+        const auto delayMs = std::uniform_int_distribution<std::int64_t>(50, 900)(random);
+        node.delayedAnswers.push_back({ call, reply, timeMs + delayMs });
+        return;
+    }
+    node.agent->onReply(call, reply, now());
+}
+
 void fleet_model::stepCalls(node &node)
 {
+    deliverDelayedAnswers(node);
     std::vector<node::waiting_call> calls;
     calls.swap(node.calls);
     for (node::waiting_call &each : calls) {
@@ -190,6 +217,13 @@
                 node.agent->onReply(each.call, down, now());
             continue;
         }
+        if (node.workerSilent) {
+            if (each.answered && timeMs >= each.sentMs + callTimeoutMs + each.call.waitMs)
+                node.agent->onReply(each.call, {}, now());
+            else
+                node.calls.push_back(each);
+            continue;
+        }
         if (!each.answered && each.answerMs > 0 && timeMs >= each.answerMs) {
             node.agent->onReply(each.call, {}, now()); // given up; it may still be carried out
             each.answerMs = 0;
@@ -206,7 +240,7 @@
             node.orderedMs.try_emplace(runName(each.call.task, each.call.run), each.sentMs);
         const auto reply = node.worker.handle(each.call, durationOf(each.call.task));
         if (each.answered)
-            node.agent->onReply(each.call, reply, now());
+            answer(node, each.call, reply);
     }
 }
 
