Name the worker in orders to its agent, not only its start

Tasks could run twice: orders for a worker that had gone were carried out on the next one beside the same agent, if that had another id and the same start, as after a clock that was set back.

Cause: orders named only the start of the incarnation. They now name the id as well; orders of an owner of an earlier release, which lack it, are taken as before.

--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -163,7 +163,8 @@
     if (orders.number == 0)
         return;
     m_ordersSeen = orders.number;
-    const bool sameIncarnation = m_worker && orders.workerStartMs == m_worker->startMs;
+    const bool sameIncarnation = m_worker && orders.workerStartMs == m_worker->startMs
+                                 && (orders.worker.empty() || orders.worker == m_worker->id);
     // Its ends outlast its runs.
     if (sameIncarnation && orders.endsNoted > m_endsNoted) {
         m_endsNoted = orders.endsNoted;
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -241,6 +241,23 @@
     BOOST_TEST(f.refusal() == "worker_gone");
 }
 
+// Guards against a task that runs twice: orders for a worker that has gone were carried out on the
+// next one, which had another id and the same start.
+BOOST_AUTO_TEST_CASE(ordersForAnotherWorkerWithTheSameStartAreRefused)
+{
+    granted_agent f;
+    sched::agent_orders orders;
+    orders.number = 1;
+    orders.worker = "last";
+    orders.workerStartMs = 5;
+    orders.starts.push_back(std::make_unique<sched::start_order>());
+    orders.starts.back()->task = "a.0.0.0";
+    orders.starts.back()->run = 1;
+    f.subject.onOrders(orders, f.now);
+    BOOST_TEST(f.starts() == 0U);
+    BOOST_TEST(f.refusal() == "worker_gone");
+}
+
 BOOST_AUTO_TEST_CASE(nothingStartsOnceTheGrantIsNearItsEnd)
 {
     granted_agent f;
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -55,10 +55,14 @@
 {
     staged_orders &staged = m_staged.orders[worker.agent];
     // Orders for an earlier incarnation of the worker do not apply to the next one.
-    if (!staged.messages.empty() && staged.messages.back().workerStartMs != worker.key.startMs)
+    const auto isForOther = [&worker](const agent_orders &orders) {
+        return worker_key{ orders.worker, orders.workerStartMs } != worker.key;
+    };
+    if (!staged.messages.empty() && isForOther(staged.messages.back()))
         staged = {};
     if (staged.messages.empty() || staged.lastBytes + bytes > maxOrderBytes) {
         agent_orders &added = staged.messages.emplace_back();
+        added.worker = worker.key.id;
         added.workerStartMs = worker.key.startMs;
         added.number = ++m_lastOrders;
         staged.lastBytes = 0;
