Test that a new owner takes the incarnation that an agent names for the only one

With a clock that had been set back, a new owner awaited the leases of the former incarnation: without the change of removeFormerIncarnations the job is not completed within 4 s.

--- a/src/libsched/scheduler_vanished_worker_test.cpp
+++ b/src/libsched/scheduler_vanished_worker_test.cpp
@@ -187,4 +187,24 @@
     }
 }
 
+// Guards against runs of a former incarnation that a new owner awaits for the whole lease, because
+// the present one has an earlier start: the wall clock had been set back.
+BOOST_AUTO_TEST_CASE(aNewOwnerTakesTheIncarnationThatTheAgentNamesForTheOnlyOne)
+{
+    constexpr std::int64_t completedWithinMs = 4'000; // a lease lasts longer
+    fleet_model model(2);
+    for (auto &each : model.nodes)
+        each.worker.info.startMs = 10'000;
+    model.run(1'000);
+    model.send(model.submission("a", 4));
+    model.run(300);
+    BOOST_REQUIRE(!model.nodes[0].worker.running.empty());
+    model.crashWorker(model.nodes[0]);
+    model.newOwner();
+    model.nodes[0].worker.restart();
+    model.nodes[0].worker.info.startMs = 5;
+    BOOST_TEST(model.runUntil("a", sched::job_state::completed, completedWithinMs));
+    requireNoViolations(model);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
