Mend what the review of the confirmed incarnations found

- An agent that had restarted beside a worker that did not answer never said that it was vacant while announcements went on, so that the tasks of that worker stayed with it.
It now waits 1.5 s for answers after an owner has connected. aNewAgentIsVacantIfNoAnnouncedIncarnationAnswers.
- An announcement and an answer that both lacked a start confirmed each other. anAnswerWithoutAStartConfirmsNothing.
- An announcement with the sequence number of the last one was taken; it is late or repeated.
- The clock of a former incarnation stayed until the next answer that had one.

Tests: announcements in tests now have rising numbers. The fence test again checks that nothing of the last incarnation remains.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -169,6 +169,7 @@
 
     std::uint64_t m_epoch = 0;
     bool m_ownerConnected = false;
+    instant m_ownerConnectedAt{}; ///< of the last connection
     duration m_term;
     instant m_authorityUntil{};
     std::uint64_t m_ordersSeen = 0;
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -12,6 +12,8 @@
 
 /// A longer term is not one of this system: the runs of a silent worker would hardly ever move.
 constexpr milliseconds maxTerm{ 60'000 };
+/// A worker that lives answers the first question of an agent with a new owner within this time.
+constexpr milliseconds firstConfirmationTimeout{ 1'500 };
 
 } // namespace
 
@@ -59,7 +61,7 @@
 void agent::updateWorker(const worker_announcement &announced)
 {
     // Announcements can arrive out of order; an older one must not replace a newer one.
-    if (announced.sequence < m_announcementSequence)
+    if (announced.sequence <= m_announcementSequence)
         return;
     m_announcementSequence = announced.sequence;
     if (*m_worker == announced.info)
@@ -89,6 +91,7 @@
     // Their questions were asked before this incarnation answered.
     m_candidates.clear();
     m_lastAlive = now;
+    m_workerClockMs = 0; // until its next answer
     m_failedHolds = 0;
     m_notRunningReplies = 0;
     m_holdPending = false;
@@ -130,6 +133,7 @@
     m_epoch = hello.epoch;
     m_term = milliseconds(hello.termMs);
     m_ownerConnected = true;
+    m_ownerConnectedAt = now;
     m_workerReported = false;
     m_ordersSeen = 0;
     m_completeReportDue = true;
@@ -246,7 +250,10 @@
 {
     const auto term = std::max<duration>(m_term, m_options.term);
     const auto maxDrift = std::chrono::duration_cast<duration>(term * m_options.clockDrift);
-    return !m_life && m_candidates.empty() && m_firstTick
+    // A worker that has announced itself meanwhile may be about to list its ends.
+    const bool mayAnswer =
+            !m_candidates.empty() && now - m_ownerConnectedAt < firstConfirmationTimeout;
+    return !m_life && !mayAnswer && m_firstTick
            && now - *m_firstTick > term + maxDrift + m_options.leaseMargin;
 }
 
--- a/src/libsched/agent_announcements_test.cpp
+++ b/src/libsched/agent_announcements_test.cpp
@@ -43,7 +43,9 @@
         BOOST_TEST(subject->ownerOpened(hello, now));
     }
 
-    void announce(const sched::worker_info &announced, std::uint64_t sequence = 0)
+    void announce(const sched::worker_info &announced) { announce(announced, ++m_announcements); }
+
+    void announce(const sched::worker_info &announced, std::uint64_t sequence)
     {
         subject->workerAnnounced({ .info = announced, .sequence = sequence }, now);
         step();
@@ -156,6 +158,7 @@
     }
 
     std::uint64_t m_orders = 0;
+    std::uint64_t m_announcements = 0;
     std::int64_t m_clockMs = 1'000;
     std::vector<std::string> m_running;
 };
@@ -236,6 +239,23 @@
     }
 }
 
+// Guards against tasks that stay on a worker that is gone, beside an agent that has restarted:
+// others go on announcing incarnations, so that the agent never said that nothing runs there.
+BOOST_AUTO_TEST_CASE(aNewAgentIsVacantIfNoAnnouncedIncarnationAnswers)
+{
+    for (const worker_reply_kind kind :
+         { worker_reply_kind::unanswered, worker_reply_kind::not_running }) {
+        answers = kind;
+        subject.emplace(sched::agent_options{ .node = "n" });
+        connectOwner();
+        for (std::uint64_t i = 0; i < 10; ++i) {
+            announce(forged("other", 6 + i));
+            advance(milliseconds(1'000));
+        }
+        BOOST_TEST(takeReports().back().vacant);
+    }
+}
+
 // Guards against questions that extend leases or discard ends of an incarnation that is not known.
 BOOST_AUTO_TEST_CASE(aQuestionToTheWorkerChangesNothing)
 {
@@ -321,8 +341,20 @@
         BOOST_TEST(report.crashes.empty());
 }
 
-// Guards against leases that are computed from the clock in an announcement: what the worker
-// answers is the only base.
+// Guards against an incarnation that ends because an announcement and an answer both lack a start.
+BOOST_AUTO_TEST_CASE(anAnswerWithoutAStartConfirmsNothing)
+{
+    const std::uint64_t startMs = info.startMs;
+    info.startMs = 0; // what the worker lists
+    announce(forged("w", 0));
+    info.startMs = startMs;
+    takeReports();
+    advance(milliseconds(300));
+    takeReports();
+    checkThatTheRunsHold();
+}
+
+// Guards against leases that go on although it is not known which incarnation holds them.
 BOOST_AUTO_TEST_CASE(aListingThatNamesNoIncarnationExtendsNoLease)
 {
     calls.clear();
@@ -349,9 +381,11 @@
     sched::worker_info draining = info;
     draining.ready = false;
     announce(draining, 8);
-    announce(info, 7);
-    start("b.0.0.0");
-    BOOST_TEST(subject->runs() == 1U);
+    for (const std::uint64_t late : { 7U, 8U }) {
+        announce(info, late);
+        start("b.0.0.0");
+        BOOST_TEST(subject->runs() == 1U);
+    }
     announce(info, 9);
     start("c.0.0.0");
     BOOST_TEST(subject->runs() == 2U);
--- a/src/libsched/agent_capacity_test.cpp
+++ b/src/libsched/agent_capacity_test.cpp
@@ -106,7 +106,7 @@
     agent_with_capacity f;
     BOOST_TEST(f.starts("a.0.0.0", 1'500));
     f.info.cpu = 2'000;
-    f.subject.workerAnnounced({ .info = f.info }, f.now);
+    f.subject.workerAnnounced({ .info = f.info, .sequence = 1 }, f.now);
     BOOST_TEST(!f.starts("a.0.0.1", 1'500));
     BOOST_TEST(f.refusalReason() == "room");
     BOOST_TEST(f.starts("a.0.0.2", 500));
@@ -158,7 +158,7 @@
     agent_with_capacity f;
     BOOST_TEST(f.starts("a.0.0.0", 3'000));
     f.info.cpu = 1'000;
-    f.subject.workerAnnounced({ .info = f.info }, f.now);
+    f.subject.workerAnnounced({ .info = f.info, .sequence = 1 }, f.now);
     BOOST_TEST(f.starts("a.0.0.1", 0));
 }
 
--- a/src/libsched/agent_crashes_test.cpp
+++ b/src/libsched/agent_crashes_test.cpp
@@ -32,16 +32,18 @@
     void announce(std::uint64_t startMs)
     {
         info.startMs = startMs;
-        subject.workerAnnounced({ .info = info }, now);
+        subject.workerAnnounced({ .info = info, .sequence = ++m_announcements }, now);
         sendHold();
-        if (const auto question = std::exchange(m_identify, std::nullopt))
+        const auto question = std::exchange(m_identify, std::nullopt);
+        BOOST_TEST(question.has_value() != (m_answeredStartMs == startMs));
+        if (question)
             subject.onReply(*question, test::emptyListing(startMs, 1'000), now);
     }
 
     void announceDraining()
     {
         info.ready = false;
-        subject.workerAnnounced({ .info = info }, now);
+        subject.workerAnnounced({ .info = info, .sequence = ++m_announcements }, now);
     }
 
     void connectOwner(std::uint64_t epoch)
@@ -95,6 +97,7 @@
         reply.clockMs = 1'000;
         reply.listing.emplace();
         reply.listing->startMs = startMs;
+        m_answeredStartMs = startMs;
         for (const std::string &task : tasks) {
             sched::run_status &status = reply.listing->running.emplace_back();
             status.task = task;
@@ -199,6 +202,8 @@
     }
 
     std::uint64_t m_orders = 0;
+    std::uint64_t m_announcements = 0;
+    std::uint64_t m_answeredStartMs = 0; ///< incarnation that has answered the last hold
     std::optional<sched::worker_call> m_hold;
     std::optional<sched::worker_call> m_start;
     std::optional<sched::worker_call> m_identify;
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <vector>
 
 using namespace plantainpitch;
 using std::chrono::milliseconds;
@@ -227,7 +228,7 @@
 {
     granted_agent f;
     f.info.ready = false;
-    f.subject.workerAnnounced({ .info = f.info }, f.now);
+    f.subject.workerAnnounced({ .info = f.info, .sequence = 1 }, f.now);
     f.orderStart(5);
     BOOST_TEST(f.starts() == 0U);
     BOOST_TEST(f.refusal() == "draining");
@@ -358,6 +359,7 @@
     BOOST_TEST(f.refusal() == "worker_gone");
     f.info.startMs = 6;
     f.subject.workerAnnounced({ .info = f.info }, f.now);
+    f.listNothing(6);
     f.orderStart(6);
     BOOST_TEST(f.starts() == 1U);
 }
@@ -369,6 +371,7 @@
     f.listNothing(3);
     f.info.startMs = 3;
     f.subject.workerAnnounced({ .info = f.info }, f.now);
+    f.listNothing(3);
     f.orderStart(3);
     BOOST_TEST(f.starts() == 1U);
 }
@@ -381,9 +384,21 @@
     sched::worker_info next = f.info;
     next.id = "next";
     next.startMs = 4;
-    test::announceAndConfirm(f.subject, next, 100, f.now);
+    sched::worker_info earlier = f.info;
+    earlier.startMs = 4;
+    f.subject.workerAnnounced({ .info = next }, f.now);
+    f.subject.workerAnnounced({ .info = earlier }, f.now);
     f.subject.tick(f.now);
-    f.subject.takeCalls();
+    const std::vector<sched::worker_call> calls = f.subject.takeCalls();
+    f.orderStart(4);
+    BOOST_TEST(f.starts() == 0U);
+    BOOST_TEST(f.refusal() == "worker_gone");
+    for (const sched::worker_call &call : calls) {
+        sched::worker_reply gone;
+        gone.kind = sched::worker_reply_kind::refused;
+        gone.reason = "worker_gone";
+        f.subject.onReply(call, call.workerId == "next" ? test::emptyListing(4, 100) : gone, f.now);
+    }
     f.orderStart(4);
     BOOST_TEST(f.starts() == 1U);
 }
@@ -591,18 +606,24 @@
     BOOST_TEST(reportedFence() == 3U);
     f.listNothing(5);
     BOOST_TEST(reportedFence() == 4U);
-    hello.epoch = 5;
-    BOOST_TEST(f.subject.ownerOpened(hello, f.now));
     f.info.startMs = 6;
     f.subject.workerAnnounced({ .info = f.info }, f.now);
-    BOOST_TEST(reportedFence() == 4U);
+    f.subject.tick(f.now);
     sched::worker_call identify;
     for (const sched::worker_call &call : f.subject.takeCalls()) {
         if (call.kind == sched::worker_call_kind::identify)
             identify = call;
+        else if (call.kind == sched::worker_call_kind::hold)
+            f.lastHold = call;
     }
-    f.subject.onReply(identify, test::emptyListing(6, 10), f.now);
+    BOOST_TEST(identify.fence == 4U);
+    hello.epoch = 5;
+    BOOST_TEST(f.subject.ownerOpened(hello, f.now));
+    f.listNothing(5);
+    f.listNothing(5);
     BOOST_TEST(reportedFence() == 5U);
+    f.subject.onReply(identify, test::emptyListing(6, 10), f.now);
+    BOOST_TEST(reportedFence() == 4U); // nothing of the last incarnation remains
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/agent_test_support.h
+++ b/src/libsched/agent_test_support.h
@@ -2,6 +2,8 @@
 
 #include "plantainpitch/sched/agent.h"
 
+#include <boost/test/unit_test.hpp>
+
 #include <cstdint>
 
 namespace plantainpitch::test {
@@ -17,16 +19,21 @@
     return reply;
 }
 
-/// Announces an incarnation to an agent that has had an owner, and has the worker confirm it.
+/// Announces an incarnation that is not the known one to an agent that has had an owner, and has
+/// the worker confirm it.
 inline void announceAndConfirm(sched::agent &agent, const sched::worker_info &info,
                                std::int64_t clockMs, instant now)
 {
     agent.workerAnnounced({ .info = info }, now);
     agent.tick(now);
+    std::size_t questions = 0;
     for (const sched::worker_call &call : agent.takeCalls()) {
-        if (call.kind == sched::worker_call_kind::identify && call.workerId == info.id)
-            agent.onReply(call, emptyListing(info.startMs, clockMs), now);
+        if (call.kind != sched::worker_call_kind::identify || call.workerId != info.id)
+            continue;
+        ++questions;
+        agent.onReply(call, emptyListing(info.startMs, clockMs), now);
     }
+    BOOST_TEST(questions == 1U);
 }
 
 } // namespace plantainpitch::test
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -194,7 +194,9 @@
     const auto candidate = m_candidates.find(call.number);
     if (!candidate)
         return;
-    const bool answered = reply.kind == worker_reply_kind::accepted && reply.listing;
+    // A worker that has named its start before does not lack one.
+    const bool answered = reply.kind == worker_reply_kind::accepted && reply.listing
+                          && (reply.listing->startMs != 0 || !m_life || m_life->key().startMs == 0);
     const bool anotherWorker =
             reply.kind == worker_reply_kind::refused && reply.reason == workerGoneReason;
     if (!answered && !anotherWorker) {
@@ -212,7 +214,6 @@
         return;
     }
     adopt(*candidate, now);
-    m_workerClockMs = 0;
     recordWorkerClock(reply.clockMs, now);
     m_workerFence = call.fence;
     onListing(*reply.listing, m_holdNumber, now);
@@ -289,10 +290,10 @@
         m_nextHold = now + holdRetryInterval;
         return;
     }
-    recordWorkerClock(reply.clockMs, now);
     const worker_listing &listing = *reply.listing;
     if (listing.startMs != m_life->key().startMs)
         onSuccessor(listing.startMs, now);
+    recordWorkerClock(reply.clockMs, now);
     m_failedHolds = 0;
     m_notRunningReplies = 0;
     if (m_life->hasSuccessor())
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -54,6 +54,7 @@
             sched::worker_reply reply;
             std::int64_t dueMs = 0;
         };
+        std::uint64_t announcements = 0; ///< sent by the worker
         bool announcementsHeldUp = false; ///< those of the worker do not reach the agent
         bool workerSilent = false; ///< the worker does not answer; its runs go on
         bool ordersHeldUp = false; ///< messages to the agent wait on the connection
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -148,7 +148,8 @@
     const sched::resources capacity = capacityOf(node.worker.info);
     if (node.capacities.empty() || node.capacities.back().amount != capacity)
         node.capacities.push_back({ .sinceMs = timeMs, .amount = capacity });
-    node.agent->workerAnnounced({ .info = node.worker.info }, now());
+    node.agent->workerAnnounced({ .info = node.worker.info, .sequence = ++node.announcements },
+                                now());
 }
 
 sched::advice fleet_model::adviseOn(const sched::advice_request &request)
--- a/src/libsched/worker_candidates.cpp
+++ b/src/libsched/worker_candidates.cpp
@@ -25,7 +25,7 @@
             });
     if (found != m_candidates.end()) {
         candidate updated = std::move(*found);
-        if (announced.sequence >= updated.announced.sequence)
+        if (announced.sequence > updated.announced.sequence)
             updated.announced = announced;
         updated.announcedAt = now;
         m_candidates.erase(found);
--- a/testsuite/soak/other_writers.py
+++ b/testsuite/soak/other_writers.py
@@ -66,7 +66,7 @@
     def _odd(self, worker, generator):
         body = worker.peek()
         body.update(generator.choice([
-            {"zone": 7}, {"zone": None}, {"capacity": "all"}, {"capacity": {"cpu": "8"}},
+            {"service": "unnamed"}, {"zone": 7}, {"zone": None}, {"capacity": "all"}, {"capacity": {"cpu": "8"}},
             {"labels": 7}, {"state": "resting"}, {"born": "soon"}, {"born": None},
             {"seq_no": -1}, {"clock_ms": "late"}]))
         return "PUT", generator.choice([worker.name, "other-worker"]), body
