--- a/testsuite/soak/fleet_soak.py
+++ b/testsuite/soak/fleet_soak.py
@@ -9,9 +9,11 @@
 clocks cannot be set without privileges and are left alone."""
 
 import argparse
+import concurrent.futures
 import os
 import random
 import shutil
+import subprocess
 import sys
 import tempfile
 import threading
@@ -31,6 +33,7 @@
 LASTING_S = 6.0  # until lasting tasks are at work
 CONFIG_S = 2.0  # until a new version is in force
 KEPT_LOG_LINES = 40
+REGRESSIONS_AT_ONCE = 2  # a run mostly waits
 
 
 class SoakRun:
@@ -189,6 +192,20 @@
         return [int(line.split()[0]) for line in file if line.strip() and line[0] != "#"]
 
 
+def play_regression(options, seed):
+    """In a process of its own, so that several can be played at once."""
+    played = subprocess.run([sys.executable, os.path.abspath(__file__), f"--build={options.build}",
+                             f"--first={seed}", "--seeds=1"], stdout=subprocess.PIPE, text=True,
+                            check=False)
+    print(played.stdout, end="", flush=True)
+    return played.returncode == 0
+
+
+def play_regressions(options):
+    with concurrent.futures.ThreadPoolExecutor(REGRESSIONS_AT_ONCE) as pool:
+        return list(pool.map(lambda seed: play_regression(options, seed), regression_seeds()))
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default=os.environ.get("PLANTAIN_BUILD", "build"),
@@ -204,9 +221,9 @@
     parser.add_argument("--gateways", type=int, default=2)
     parser.add_argument("--nodes", type=int, default=4)
     options = parser.parse_args()
-    seeds = regression_seeds() if options.regressions \
-        else range(options.first, options.first + options.seeds)
-    results = [play_seed(options, seed) for seed in seeds]
+    results = play_regressions(options) if options.regressions else [
+        play_seed(options, seed)
+        for seed in range(options.first, options.first + options.seeds)]
     print(f"{results.count(True)} of {len(results)} seeds kept all promises")
     return 0 if all(results) else 1
 
