Start the numbers of a gateway's calls at random

Cause: an owner matches its answer to a call by the gateway's node name and the call's number. The numbers began at 1 in each process of the gateway. Answers that wait for the store outlast the connection, and reached the next process of the gateway, where the number was that of another client's call. That client was told that its job was stored.

Change: a process numbers its calls from a random value on. The number is echoed by owners of all releases, so that old and new processes work together.

Result: answersToCallsOfAnEarlierProcessAreIgnored failed before (three answers of the first process reached calls of the second) and passes.

--- a/src/include/plantainpitch/fleet/gateway_process.h
+++ b/src/include/plantainpitch/fleet/gateway_process.h
@@ -40,7 +40,9 @@
     runtime::event_log &m_log;
     sched::gateway m_gateway;
     std::map<std::uint64_t, std::function<void(const sched::gateway_answer &)>> m_pendingCalls;
-    std::uint64_t m_lastCallNumber = 0;
+    /// Begins at random: an owner may answer a call after the process that sent it has ended, to
+    /// the next process of the gateway.
+    std::uint64_t m_lastCallNumber;
     member_endpoint m_endpoint;
 };
 
--- a/src/libfleet/gateway_process.cpp
+++ b/src/libfleet/gateway_process.cpp
@@ -1,5 +1,7 @@
 #include "plantainpitch/fleet/gateway_process.h"
 
+#include "plantainpitch/runtime/shell_core.h"
+
 namespace plantainpitch::fleet {
 
 gateway_process::gateway_process(
@@ -8,6 +10,7 @@
         const std::function<void(const sched::config_document &)> &onConfig)
     : m_time(time)
     , m_log(log)
+    , m_lastCallNumber(runtime::randomNumber())
     , m_endpoint(context, std::move(options),
                  { .opened =
                            [this](const sched::owner_hello &hello) {
