Take answers and refusals for the incarnation that they concern

Callers could see: a task that runs twice.

Cause: an agent matched a worker's answer to a run by the worker's id only. An incarnation that starts again under the id has other runs: the answer to a stop that the earlier one had executed let the next one's listing count as proof that the run never starts, while a late start could still reach it. A refusal that had not been reported yet was reported for the next incarnation in the same way.

Change: a call carries the incarnation to which it was sent, and its answer counts for that one only. Refusals that have not been reported are dropped with the incarnation; the owner then orders a stop.

Result: anAnswerOfAnEarlierIncarnationStopsNothingOnTheNextOne and refusalsOfAnEarlierIncarnationAreNotReportedForTheNextOne failed before and pass.

--- a/src/include/plantainpitch/sched/worker_call.h
+++ b/src/include/plantainpitch/sched/worker_call.h
@@ -23,6 +23,9 @@
     worker_call_kind kind = worker_call_kind::hold;
     std::uint64_t number = 0; ///< sequence number of an agent's holds, or of its questions
     std::string workerId; ///< only that worker may execute it
+    /// Incarnation that the agent knew when it sent the call. It is not part of the call, so that
+    /// another one under the id may execute it.
+    std::uint64_t workerStartMs = 0;
     std::string task;
     std::uint32_t run = 0;
     std::string payload;
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -34,6 +34,8 @@
     m_runsWhenSilent.clear();
     m_ends.clear();
     m_newEnds.clear();
+    // The owner would take them for those of the next incarnation, which may execute a late start.
+    m_refusals.clear();
     m_lastEnd = 0;
     m_endsNoted = 0;
     m_listingReceived = false;
--- a/src/libsched/agent_test.cpp
+++ b/src/libsched/agent_test.cpp
@@ -329,6 +329,52 @@
     BOOST_TEST(f.refusal() == "not_there");
 }
 
+// Guards against a task that runs twice: the answer to a stop that an earlier incarnation carried
+// out counted for the next one, which could still carry out a late start.
+BOOST_AUTO_TEST_CASE(anAnswerOfAnEarlierIncarnationStopsNothingOnTheNextOne)
+{
+    granted_agent f;
+    const auto orderStop = [&f](std::uint64_t number) {
+        sched::agent_orders orders;
+        orders.number = number;
+        orders.workerStartMs = f.info.startMs;
+        orders.stops.push_back(std::make_unique<sched::run_ref>());
+        orders.stops.back()->task = "a.0.0.0";
+        orders.stops.back()->run = 1;
+        f.subject.onOrders(orders, f.now);
+        return f.subject.takeCalls();
+    };
+    const auto earlier = orderStop(1);
+    BOOST_REQUIRE(earlier.size() == 1U);
+    f.listNothing(6);
+    f.info.startMs = 6;
+    f.subject.workerAnnounced({ .info = f.info }, f.now);
+    f.workerClockMs = 10;
+    BOOST_TEST(orderStop(2).size() == 1U);
+    sched::worker_reply accepted;
+    accepted.kind = sched::worker_reply_kind::accepted;
+    f.subject.onReply(earlier[0], accepted, f.now);
+    f.listNothing(6);
+    f.listNothing(6);
+    BOOST_TEST(f.refusal().empty());
+}
+
+// Guards against the refusal by an earlier incarnation of a run that the next one may carry out.
+BOOST_AUTO_TEST_CASE(refusalsOfAnEarlierIncarnationAreNotReportedForTheNextOne)
+{
+    granted_agent f;
+    f.subject.ownerClosed(f.now);
+    f.orderStart(4);
+    f.listNothing(6);
+    f.info.startMs = 6;
+    f.subject.workerAnnounced({ .info = f.info }, f.now);
+    sched::owner_hello hello;
+    hello.epoch = 4;
+    hello.termMs = 5'500;
+    BOOST_TEST(f.subject.ownerOpened(hello, f.now));
+    BOOST_TEST(f.refusal().empty());
+}
+
 // Only a listing shows which incarnation has received a start.
 BOOST_AUTO_TEST_CASE(aRunIsReportedAsRunningOnceItIsListed)
 {
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -35,6 +35,7 @@
     worker_call result;
     result.kind = kind;
     result.workerId = m_worker ? m_worker->id : std::string();
+    result.workerStartMs = m_worker ? m_worker->startMs : 0;
     result.fence = m_epoch;
     return result;
 }
@@ -225,7 +226,9 @@
         onIdentifyReply(call, reply, now);
         return;
     }
-    if (!m_worker || call.workerId != m_worker->id)
+    const bool sentToKnown =
+            m_worker && call.workerId == m_worker->id && call.workerStartMs == m_worker->startMs;
+    if (!sentToKnown)
         return;
     switch (call.kind) {
     case worker_call_kind::start:
