Answer calls about loaded jobs without a configuration

Cause: an owner that had no configuration refused every call before it looked whether the job was one of those that it had loaded. A gateway sends the open calls of a lost owner to the next one, which may find the job in the store. A submission whose content the owner would not accept was rejected in the same way, although its job was stored.

Change: calls about jobs that are known are answered first. Only new jobs need a configuration, and only they are checked. A job that a new owner has not loaded is not stored: the store takes no appends of earlier owners once its epoch has begun, and it loads after that.

Result: anOwnerWithoutConfigurationAnswersCallsAboutJobsThatItHasLoaded and aRepeatOfAStoredJobIsNotRejectedForItsContent failed before and pass.

--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -245,11 +245,14 @@
                        std::int64_t wallMs)
 {
     const auto kind = static_cast<call_kind>(call.kind);
-    if (!m_loaded || m_config.version == 0) {
+    const job *known = findJob(call.job);
+    // A job that is not among the loaded ones is not stored, as earlier owners can store no more.
+    // Calls about those that are need no configuration.
+    const bool isNew = kind == call_kind::submit && !known;
+    if (!m_loaded || (isNew && m_config.version == 0)) {
         refuse(node, call, "no_configuration", notReadyRetry);
         return;
     }
-    const job *known = findJob(call.job);
     switch (kind) {
     case call_kind::submit:
         submit(node, call, now, wallMs);
@@ -276,27 +279,28 @@
 void scheduler::submit(const std::string &node, const client_call &call, instant now,
                        std::int64_t wallMs)
 {
+    if (const job *known = findJob(call.job)) {
+        answer(node, call.number, call_outcome::done, known, !known->stored);
+        return;
+    }
     if (const std::string problem = problemOf(call, m_options.store); !problem.empty()) {
         log(log_level::warning, "job_unreadable", { { "job", call.job }, { "problem", problem } });
         answer(node, call.number, call_outcome::rejected, nullptr, false);
         return;
     }
-    const job *known = findJob(call.job);
-    if (!known && m_storeFailedSince && now - *m_storeFailedSince >= storeDownAfter) {
+    if (m_storeFailedSince && now - *m_storeFailedSince >= storeDownAfter) {
         const duration outage = now - *m_storeFailedSince;
         refuse(node, call, "store_down",
                std::clamp<duration>(outage, shortestOutageRetry, longestOutageRetry));
         return;
     }
-    if (!known) {
-        known = &addJob(*call.submitted, now, wallMs);
-        log(log_level::info, "job_accepted",
-            { { "job", call.job },
-              { "queue", call.submitted->queue },
-              { "steps", describeSteps(*call.submitted->spec) },
-              { "config", std::to_string(m_config.version) } });
-    }
-    answer(node, call.number, call_outcome::done, known, !known->stored);
+    const job &added = addJob(*call.submitted, now, wallMs);
+    log(log_level::info, "job_accepted",
+        { { "job", call.job },
+          { "queue", call.submitted->queue },
+          { "steps", describeSteps(*call.submitted->spec) },
+          { "config", std::to_string(m_config.version) } });
+    answer(node, call.number, call_outcome::done, &added, true);
 }
 
 void scheduler::cancel(const std::string &node, const client_call &call)
