Keep the outcome of a submission open until an owner settles it

Callers could see: 504 to a first attempt, 503 to the next one at the same gateway, and then the job runs.

Cause: a gateway without an owner refuses a call that it has not sent. It had forgotten that an earlier call for the same job had reached an owner, which may have stored it.

Change: a gateway remembers for a minute which submissions it has sent without getting an answer, and answers 504 to their repeats until an owner has answered one.

Result: aRepeatOfACallWithoutAnswerIsNotRefusedForWantOfAnOwner failed before and passes.

--- a/src/include/plantainpitch/sched/gateway.h
+++ b/src/include/plantainpitch/sched/gateway.h
@@ -6,6 +6,7 @@
 #include "plantainpitch/sched/messages.h"
 #include "plantainpitch/sched/route_table.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -41,6 +42,8 @@
     /// so a client that retries earlier would be rejected again.
     static constexpr std::chrono::milliseconds maxWaitForOwner{ 1'000 };
     static constexpr std::uint32_t defaultRetryAfterMs = 1'000;
+    /// Clients repeat a submission within seconds.
+    static constexpr std::chrono::seconds openOutcomesKept{ 60 };
 
     /// Returns false if an owner of a later epoch is known.
     bool ownerOpened(const owner_hello &hello, instant now);
@@ -70,6 +73,7 @@
     };
 
     void send(open_call &entry);
+    void expire(const open_call &entry, instant now);
     void finish(const open_call &entry, gateway_status status, const client_answer &content);
     void log(log_level level, const char *event,
              std::vector<std::pair<std::string, std::string>> fields);
@@ -77,6 +81,9 @@
     std::uint64_t m_epoch = 0;
     bool m_connected = false;
     std::map<std::uint64_t, open_call> m_calls;
+    /// Jobs whose submission reached an owner and was not answered, with the time of giving up. No
+    /// repeat is told that the job never runs before an owner has said so.
+    std::map<std::string, instant> m_openOutcomes;
     std::vector<message> m_messages;
     std::vector<gateway_answer> m_answers;
     std::vector<write_log> m_logLines;
--- a/src/libsched/gateway.cpp
+++ b/src/libsched/gateway.cpp
@@ -69,6 +69,7 @@
     const auto found = m_calls.find(answer.number);
     if (found == m_calls.end())
         return;
+    m_openOutcomes.erase(found->second.content.job);
     switch (static_cast<call_outcome>(answer.outcome)) {
     case call_outcome::done:
         finish(found->second, gateway_status::done, answer);
@@ -96,24 +97,33 @@
 {
     for (auto entry = m_calls.begin(); entry != m_calls.end();) {
         open_call &call = entry->second;
-        const bool unsent = call.waiting && !call.sent;
         const bool expired =
                 now >= call.deadline || (call.waiting && now - call.received >= maxWaitForOwner);
         if (!expired) {
             ++entry;
             continue;
         }
-        log(log_level::warning, "call_without_answer",
-            { { "job", call.content.job },
-              { "owner", m_connected ? "connected" : "none" },
-              { "sent", call.sent ? "yes" : "no" } });
-        // Queries have no side effects, so their outcome is never unknown.
-        const auto kind = static_cast<call_kind>(call.content.kind);
-        const bool changes = kind == call_kind::submit || kind == call_kind::cancel;
-        finish(call, unsent || !changes ? gateway_status::not_accepted : gateway_status::unknown,
-               {});
+        expire(call, now);
         entry = m_calls.erase(entry);
     }
+    std::erase_if(m_openOutcomes,
+                  [now](const auto &each) { return now - each.second > openOutcomesKept; });
+}
+
+void gateway::expire(const open_call &entry, instant now)
+{
+    log(log_level::warning, "call_without_answer",
+        { { "job", entry.content.job },
+          { "owner", m_connected ? "connected" : "none" },
+          { "sent", entry.sent ? "yes" : "no" } });
+    const auto kind = static_cast<call_kind>(entry.content.kind);
+    const bool submits = kind == call_kind::submit;
+    if (submits && entry.sent)
+        m_openOutcomes[entry.content.job] = now;
+    // Queries have no side effects, so their outcome is never unknown.
+    const bool mayHaveEffect = submits ? m_openOutcomes.count(entry.content.job) > 0
+                                       : kind == call_kind::cancel && entry.sent;
+    finish(entry, mayHaveEffect ? gateway_status::unknown : gateway_status::not_accepted, {});
 }
 
 std::vector<message> gateway::takeMessages()
