Let a new owner rely on any member that it has from an earlier one

Cause: an owner that the store did not confirm went on granting leases while it was connected to a majority of the agents, so that its successor needed a majority to take the runs of unreached workers as lost. Machines that were gone counted as agents for 20 s.

Change: without the store's confirmation, an owner now grants only while it hears all of its members, gateways included. One member that has turned to the new owner shows that the earlier one does not: each member tells a new owner whether it has had another one. The majority still counts where all processes have been restarted and know of no earlier owner.

Tests: two tests had a successor that never started anything beside a majority of unreached agents, without an earlier owner in the model. They are replaced by ones in which that owner exists, is cut off with one to five of five nodes, and goes on as long as its rules let it; nothing may run twice, and what the new owner can place has to run.

--- a/src/include/plantainpitch/fleet/member_dialer.h
+++ b/src/include/plantainpitch/fleet/member_dialer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainpitch/runtime/frame_link.h"
+#include "plantainpitch/sched/member_contact.h"
 #include "plantainpitch/sched/messages.h"
 
 #include <boost/asio/io_context.hpp>
@@ -33,6 +34,9 @@
     /// is assumed to be replaced.
     static constexpr std::chrono::seconds unreachableTimeout{ 20 };
 
+    /// The keep-alives of a link are at most twice its keepAliveInterval apart.
+    static constexpr std::chrono::milliseconds maxSilence{ 1'100 };
+
     member_dialer(boost::asio::io_context &context, sched::owner_hello hello, callbacks callbacks);
     ~member_dialer();
 
@@ -49,6 +53,7 @@
 
     /// Nodes of the agents that exist, connected or not.
     [[nodiscard]] std::vector<std::string> agents() const;
+    [[nodiscard]] sched::member_contact contact() const;
 
 private:
     struct peer;
--- a/src/include/plantainpitch/fleet/member_endpoint.h
+++ b/src/include/plantainpitch/fleet/member_endpoint.h
@@ -56,6 +56,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
     std::shared_ptr<runtime::frame_link> m_owner;
+    std::uint64_t m_epoch = 0; ///< of the last owner that was accepted
+    std::uint64_t m_formerEpoch = 0; ///< of the owner before it
 };
 
 } // namespace plantainpitch::fleet
--- a/src/include/plantainpitch/runtime/frame_link.h
+++ b/src/include/plantainpitch/runtime/frame_link.h
@@ -40,6 +40,8 @@
 
     void start(callbacks calls);
     void send(const std::string &frame);
+    /// When the last bytes came from the peer, those that only show that it lives included.
+    [[nodiscard]] std::chrono::steady_clock::time_point lastRead() const { return m_lastRead; }
     /// Sends what is queued, then closes. The callbacks are not called any more.
     void close();
 
--- a/src/libfleet/member_dialer.cpp
+++ b/src/libfleet/member_dialer.cpp
@@ -29,6 +29,7 @@
     bool open = false; ///< the member has replied to the hello
     std::chrono::milliseconds backoff = initialRetryDelay;
     steady::time_point lastSeen = steady::now();
+    bool formerlyOwned = false; ///< an earlier owner was connected to the process
     bool left = false; ///< its announcement has been removed since it last answered
     bool removed = false;
 };
@@ -121,6 +122,7 @@
     if (const auto *hello = content.content.Asmember_hello()) {
         target->member.node = hello->node;
         target->member.isAgent = hello->isAgent;
+        target->formerlyOwned = hello->formerEpoch != 0;
         target->open = true;
         target->left = false;
         target->backoff = initialRetryDelay;
@@ -189,6 +191,21 @@
     return nodes;
 }
 
+sched::member_contact member_dialer::contact() const
+{
+    const auto now = steady::now();
+    sched::member_contact result{ .all = true };
+    for (const auto &[address, target] : m_peersByAddress) {
+        if (target->left && !target->open)
+            continue;
+        const bool heard =
+                target->open && target->link && now - target->link->lastRead() <= maxSilence;
+        result.all = result.all && heard;
+        result.formerlyOwned = result.formerlyOwned || (heard && target->formerlyOwned);
+    }
+    return result;
+}
+
 void member_dialer::close()
 {
     m_closed = true;
--- a/src/libfleet/member_endpoint.cpp
+++ b/src/libfleet/member_endpoint.cpp
@@ -4,6 +4,8 @@
 #include "plantainpitch/sched/message_limits.h"
 #include "plantainpitch/wire/frame_limits.h"
 
+#include <utility>
+
 namespace plantainpitch::fleet {
 
 namespace asio = boost::asio;
@@ -103,9 +105,12 @@
         if (m_owner && m_owner != link)
             m_owner->close();
         m_owner = link;
+        if (hello->epoch != m_epoch)
+            m_formerEpoch = std::exchange(m_epoch, hello->epoch);
         sched::member_hello answer;
         answer.node = m_options.node;
         answer.isAgent = m_options.isAgent;
+        answer.formerEpoch = m_formerEpoch;
         send(sched::makeMessage(answer));
         m_callbacks.ready();
         return;
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -63,6 +63,7 @@
     if (m_ownership && m_ownership->members) {
         const auto agents = m_ownership->members->agents();
         m_ownership->scheduler->setAgents({ agents.begin(), agents.end() });
+        m_ownership->scheduler->setContact(m_ownership->members->contact());
         m_ownership->scheduler->tick(now, m_time.wallMs());
         flush();
         publishGauges(now);
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -33,6 +33,9 @@
         fake_fleet_worker worker;
         bool linked = false; ///< connected to the owner
         bool partitioned = false; ///< partitioned from the owner
+        std::uint64_t ownerEpoch = 0; ///< of the last owner of the agent's process
+        bool formerlyOwned = false; ///< by an owner before that
+        bool withCutOffOwner = false; ///< connected to cutOffOwner, not to the owner
         std::deque<sched::message> toOwner;
         std::deque<sched::message> toAgent;
         struct waiting_call
@@ -108,12 +111,29 @@
         answers.clear();
     }
 
+    /// Cuts the owner off from the store and, with the first \a count nodes, from the others, which
+    /// get a new owner.
+    void cutOff(std::size_t count);
+    /// Connects the node to the owner that is cut off, and cuts it off from the other one.
+    void turnToCutOffOwner(node &node);
+    /// Connects all nodes to the owner again.
+    void endCutOff()
+    {
+        cutOffOwner.reset();
+        for (node &each : nodes) {
+            each.partitioned = each.partitioned && !each.withCutOffOwner;
+            each.withCutOffOwner = false;
+        }
+    }
+
     /// Replaces the agent's process by a new one without state.
     void restartAgent(node &node)
     {
         closeLink(node);
         node.calls.clear();
         node.delayedAnswers.clear();
+        node.ownerEpoch = 0;
+        node.formerlyOwned = false;
         makeAgent(node);
     }
 
@@ -192,6 +212,8 @@
     sched::worth_order order;
     std::optional<sched::scheduler> owner;
     std::uint64_t epoch = 0;
+    std::optional<sched::scheduler> cutOffOwner; ///< an earlier owner that the store does not reach
+    std::uint64_t cutOffEpoch = 0;
     std::deque<node> nodes;
     bool storeUp = true;
     std::set<std::string> eligibleWorkers; ///< for which the advice service issues tickets
@@ -259,9 +281,13 @@
         if (!node.agent->ownerOpened(hello, now()))
             return;
         node.linked = true;
+        node.formerlyOwned =
+                node.formerlyOwned || (node.ownerEpoch != 0 && node.ownerEpoch != epoch);
+        node.ownerEpoch = epoch;
         owner->agentOpened(node.name, now());
     }
 
+    [[nodiscard]] sched::member_contact contact() const;
     void holdIncompleteGangs();
     void stepNode(node &node);
     void announce(node &node);
@@ -275,6 +301,8 @@
     [[nodiscard]] std::int64_t durationOf(const std::string &task) const;
     sched::advice adviseOn(const sched::advice_request &request);
     void stepOwner();
+    void stepCutOffOwner();
+    void sendToAgents(sched::scheduler &from, bool cutOff);
     void check();
     bool recordStart(const std::string &task, std::uint32_t run, const sched::job *known);
 };
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -69,11 +69,8 @@
     m_loadedProgress.clear();
     decideOnLoadedSuspects(now);
     // Runs of an earlier owner may hold leases that it granted just before the takeover.
-    for (auto &[key, worker] : m_workers) {
-        const auto maxLease = m_options.staleOwner + m_options.term * (1 + m_options.clockDrift);
-        worker->leasedUntil =
-                now + std::chrono::duration_cast<duration>(maxLease) + m_options.leaseMargin;
-    }
+    for (auto &[key, worker] : m_workers)
+        worker->leasedUntil = earlierLeaseEnd(now);
     m_passNeeded = true;
     log(log_level::info, "partition_taken",
         { { "epoch", std::to_string(m_options.epoch) },
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// If the store has not confirmed the ownership for this long, another process may have become the
-/// owner, and leases are granted only while a majority of the agents is connected.
-constexpr std::chrono::milliseconds confirmationValidity{ 2'500 };
-
 /// The process has been suspended if it has done nothing for this long; it ticks every 100 ms.
 constexpr std::chrono::milliseconds suspensionGap{ 1'000 };
 /// After a suspension it takes this long to notice which agents have turned to another owner.
@@ -302,9 +298,13 @@
     // before the suspension.
     const bool justResumed =
             m_resumed && now - *m_resumed < resumeDelay && m_confirmed < *m_resumed;
-    if (justResumed || (now - m_confirmed > confirmationValidity && !hasMajority())) {
+    // Without the store's confirmation, only members that keep to this owner show that there is no
+    // later one. One that is missing may be connected to it.
+    const bool mayBeReplaced = now - m_confirmed > m_options.staleOwner && !m_contact.all;
+    if (justResumed || mayBeReplaced) {
         log(log_level::warning, "grant_withheld",
             { { "node", node },
+              { "all_heard", m_contact.all ? "yes" : "no" },
               { "connected", std::to_string(m_connected.size()) },
               { "agents", std::to_string(m_agents.size()) } });
         return;
@@ -326,16 +326,36 @@
     }
 }
 
-/// Takes the runs of workers whose leases have ended as lost. An earlier owner that the store does
-/// not reach goes on granting leases while it is connected to a majority of the agents, to workers
-/// that have not answered a call of this owner. A later owner does no harm: no start of this one is
-/// stored after the epoch of the later one has begun.
+/// End of the latest lease that an earlier owner may have granted, if it has lost a member now.
+instant scheduler::earlierLeaseEnd(instant now) const
+{
+    const auto longest = m_options.staleOwner + m_options.term * (1 + m_options.clockDrift);
+    return now + std::chrono::duration_cast<duration>(longest) + m_options.leaseMargin;
+}
+
+/// Finds out whether an earlier owner that the store does not reach may go on granting leases. It
+/// does so while it hears all members, to workers that have not answered a call of this owner.
+void scheduler::noteEarlierOwners(instant now)
+{
+    // Processes that have all been restarted do not know of an earlier owner.
+    const bool ended = m_contact.formerlyOwned || hasMajority();
+    if (ended && !m_earlierOwnersEnded) {
+        for (auto &[key, worker] : m_workers) {
+            if (!worker->connected && !worker->fenced)
+                worker->leasedUntil = std::max(worker->leasedUntil, earlierLeaseEnd(now));
+        }
+    }
+    m_earlierOwnersEnded = ended;
+}
+
+/// Takes the runs of workers whose leases have ended as lost. A later owner does no harm: no start
+/// of this one is stored after the epoch of the later one has begun.
 void scheduler::removeLostWorkers(instant now)
 {
-    const bool earlierOwnerHasEnded = hasMajority();
+    noteEarlierOwners(now);
     for (auto each = m_workers.begin(); each != m_workers.end();) {
         worker &worker = *each->second;
-        const bool mayBeExtended = !earlierOwnerHasEnded && !worker.fenced;
+        const bool mayBeExtended = !m_earlierOwnersEnded && !worker.fenced;
         if (worker.connected || now < worker.leasedUntil || mayBeExtended) {
             ++each;
             continue;
