Say that a job does not exist only as the one owner

Callers could see: 410 for a job that another gateway had acknowledged.

Cause: an owner that the store does not reach answered queries and cancels of unknown jobs with 410, also when a later owner could have accepted the job.

Change: such an owner answers 503 to them while it does not hear all members.

Result: anOwnerThatMayBeReplacedDoesNotSayThatAJobDoesNotExist failed before and passes.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -305,6 +305,7 @@
     void grantLease(const std::string &node, worker *worker, const agent_report &report,
                     instant now);
     [[nodiscard]] bool hasMajority() const;
+    [[nodiscard]] bool mayBeReplaced(instant now) const;
     [[nodiscard]] instant earlierLeaseEnd(instant now) const;
     void noteEarlierOwners(instant now);
     void removeLostWorkers(instant now);
--- a/src/libsched/scheduler_calls_test.cpp
+++ b/src/libsched/scheduler_calls_test.cpp
@@ -78,4 +78,22 @@
     BOOST_TEST((owner.outcomeOf(std::move(repeat)) == call_outcome::done));
 }
 
+// Guards against a job that exists and is said not to: an owner that the store does not reach asks
+// neither it nor its successor, which may have accepted the job.
+BOOST_AUTO_TEST_CASE(anOwnerThatMayBeReplacedDoesNotSayThatAJobDoesNotExist)
+{
+    unconfigured_owner owner;
+    owner.model.storeUp = false;
+    owner.model.run(3'000);
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "new") == call_outcome::unknown_job));
+    owner.model.nodes[0].partitioned = true;
+    owner.model.run(3'000);
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "new") == call_outcome::unavailable));
+    BOOST_TEST((owner.outcomeOf(call_kind::cancel, "new") == call_outcome::unavailable));
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "known") == call_outcome::done));
+    owner.model.storeUp = true;
+    owner.model.run(100);
+    BOOST_TEST((owner.outcomeOf(call_kind::cancel, "new") == call_outcome::unknown_job));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -253,6 +253,11 @@
         refuse(node, call, "no_configuration", notReadyRetry);
         return;
     }
+    const bool asksForJob = kind == call_kind::query || kind == call_kind::cancel;
+    if (asksForJob && !known && mayBeReplaced(now)) {
+        refuse(node, call, "not_confirmed", notReadyRetry);
+        return;
+    }
     switch (kind) {
     case call_kind::submit:
         submit(node, call, now, wallMs);
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -291,6 +291,13 @@
     m_lastActivity = now;
 }
 
+/// Whether another process may have become the owner. Without the store's confirmation, only
+/// members that keep to this owner show that none has: one that is missing may be connected to it.
+bool scheduler::mayBeReplaced(instant now) const
+{
+    return now - m_confirmed > m_options.staleOwner && !m_contact.all;
+}
+
 void scheduler::grantLease(const std::string &node, worker *worker, const agent_report &report,
                            instant now)
 {
@@ -298,10 +305,7 @@
     // before the suspension.
     const bool justResumed =
             m_resumed && now - *m_resumed < resumeDelay && m_confirmed < *m_resumed;
-    // Without the store's confirmation, only members that keep to this owner show that there is no
-    // later one. One that is missing may be connected to it.
-    const bool mayBeReplaced = now - m_confirmed > m_options.staleOwner && !m_contact.all;
-    if (justResumed || mayBeReplaced) {
+    if (justResumed || mayBeReplaced(now)) {
         log(log_level::warning, "grant_withheld",
             { { "node", node },
               { "all_heard", m_contact.all ? "yes" : "no" },
