--- a/src/libsched/agent_leases_test.cpp
+++ b/src/libsched/agent_leases_test.cpp
@@ -14,9 +14,9 @@
 
 constexpr std::int64_t maxLeaseMs = 10'000;
 
-/// Three nodes whose workers keep leases of up to ten seconds, with a job of long tasks on them. One
-/// worker has just started again under its id, and has executed a hold that was meant for its last
-/// incarnation.
+/// Three nodes whose workers keep leases of up to ten seconds, with a job of long tasks on them.
+/// One worker has just started again under its id, and has executed a hold that was meant for its
+/// last incarnation.
 struct restarted_worker : fleet_model
 {
     restarted_worker()
