Let idle jobs share left-over processors once no jobs come

Cause: the owner counted the processors of filling tasks as use. They count against no capacity: filling tasks use what others leave. A filling task was refused where the left-over processors were fewer than its demand, however long its job had waited, and a service that filling tasks kept busy did not count as mostly free, so that stalled jobs got no place in it. Besides, each such job waited two seconds between its tasks.

Change: only reservations count as use. While no jobs come, each job without a run gets one at once in a mostly free service, and its filling tasks may share left-over processors with others. Excluded and kept workers are still used after two seconds only.

Result: aFillingJobStartsBesideFillingTasksThatUseAllProcessors failed before and passes.

--- a/src/include/plantainpitch/sched/placement_policy.h
+++ b/src/include/plantainpitch/sched/placement_policy.h
@@ -2,6 +2,7 @@
 
 #include "plantainpitch/sched/disturbance_model.h"
 #include "plantainpitch/sched/job.h"
+#include "plantainpitch/sched/placement_terms.h"
 #include "plantainpitch/sched/worker.h"
 
 #include <vector>
@@ -19,10 +20,10 @@
     virtual ~placement_policy() = default;
 
     /// Returns whether a task of the step may run beside the tasks on \a candidate, given enough
-    /// free capacity. \a starved: the work has waited for long. Must admit a task wherever it
-    /// admits one of the same image that asks at least as much (see placement_request).
+    /// free capacity. Must admit a task wherever it admits one of the same image that asks at least
+    /// as much (see placement_request).
     [[nodiscard]] virtual bool admits(const worker &candidate, const step_spec &step,
-                                      bool starved) const = 0;
+                                      const placement_terms &terms) const = 0;
 
     /// Returns one of \a candidates, which all have free capacity and may run the step; nullptr if
     /// waiting is better. \a previous holds the worker of the task's last run, which may have
@@ -37,7 +38,7 @@
 {
 public:
     [[nodiscard]] bool admits(const worker & /*candidate*/, const step_spec & /*step*/,
-                              bool /*starved*/) const override
+                              const placement_terms & /*terms*/) const override
     {
         return true;
     }
@@ -48,8 +49,9 @@
 /// Gives filling tasks only processors that are left over, and places them beside serving tasks
 /// only where those are expected to stay within their targets, preferring images that hardly
 /// disturb. A starved job is placed at any headroom, and the agent paces its task accordingly.
-/// Serving tasks are packed onto as few VMs as their steps allow. Otherwise filling tasks could
-/// occupy every VM, disturb serving tasks and be paced down everywhere, and both would be late.
+/// Serving tasks are packed onto as few VMs as their steps allow. Otherwise filling
+/// tasks could occupy every VM, disturb serving tasks and be paced down everywhere, and both would
+/// be late.
 class isolating_placement : public placement_policy
 {
 public:
@@ -59,7 +61,7 @@
     {}
 
     [[nodiscard]] bool admits(const worker &candidate, const step_spec &step,
-                              bool starved) const override;
+                              const placement_terms &terms) const override;
     [[nodiscard]] worker *choose(const std::vector<worker *> &candidates, const step_spec &step,
                                  const task &previous) const override;
 
--- a/src/include/plantainpitch/sched/placement_request.h
+++ b/src/include/plantainpitch/sched/placement_request.h
@@ -16,6 +16,7 @@
     std::string image;
     bool fills = false;
     bool starved = false; ///< admitted at less headroom
+    bool mayShareLeftOver = false;
     bool mayUseExcluded = false;
     bool mayUseReserved = false;
     std::int64_t cpu = 0; ///< thousandths of a core
@@ -30,6 +31,7 @@
     {
         return service == other.service && requiredLabel == other.requiredLabel
                && image == other.image && fills == other.fills && starved <= other.starved
+               && mayShareLeftOver <= other.mayShareLeftOver
                && mayUseExcluded <= other.mayUseExcluded && mayUseReserved <= other.mayUseReserved
                && cpu >= other.cpu && memoryMb >= other.memoryMb
                && accelerators >= other.accelerators && estimateMs >= other.estimateMs;
@@ -44,6 +46,7 @@
              .image = imageOf(step),
              .fills = step.fills,
              .starved = terms.starved,
+             .mayShareLeftOver = terms.mayShareLeftOver,
              .mayUseExcluded = terms.mayUseExcluded,
              .mayUseReserved = terms.mayUseReserved,
              .cpu = step.cpu,
--- a/src/include/plantainpitch/sched/placement_terms.h
+++ b/src/include/plantainpitch/sched/placement_terms.h
@@ -7,6 +7,8 @@
 {
     /// Its job has stood still for a while, so it may run where it has little headroom.
     bool starved = false;
+    /// Its filling tasks may share left-over processors with others that use them already.
+    bool mayShareLeftOver = false;
     /// A long-running task that has waited too long: may use room held from other work.
     bool overdue = false;
     /// An excluded worker is better than none.
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -248,7 +248,7 @@
     void holdRoomForGang(const overdue_task &waiting, instant now);
 
     // scheduler_stalled_jobs.cpp: jobs that stand still although most of their service is free
-    void placeStalledJobs(bool starved, instant now);
+    void placeStalledJobs(bool draining, bool starved, instant now);
     void placeStalledJob(job &job, bool starved, instant now);
     [[nodiscard]] bool isMostlyFree(const std::string &service) const;
 
--- a/src/libsched/isolating_placement.cpp
+++ b/src/libsched/isolating_placement.cpp
@@ -107,13 +107,14 @@
     return (sameImage ? 0 : otherImagePenalty) - reservedShare(candidate);
 }
 
-bool isolating_placement::admits(const worker &candidate, const step_spec &step, bool starved) const
+bool isolating_placement::admits(const worker &candidate, const step_spec &step,
+                                 const placement_terms &terms) const
 {
     if (!step.fills)
         return true;
-    if (candidate.leftOverCpu() < static_cast<std::int64_t>(step.cpu))
+    if (!terms.mayShareLeftOver && candidate.leftOverCpu() < static_cast<std::int64_t>(step.cpu))
         return false;
-    if (starved || candidate.servingRuns == 0)
+    if (terms.starved || candidate.servingRuns == 0)
         return true;
     const double disturbs = std::min(1.0, disturbance(m_model, candidate, step));
     return expectedHeadroom(candidate, step)
--- a/src/libsched/scheduler_log.cpp
+++ b/src/libsched/scheduler_log.cpp
@@ -89,7 +89,7 @@
         else if (!candidate->hasRoomFor(needed)
                  || (!candidate->keptForJob.empty() && candidate->keptForJob != job.request.id))
             ++result.held;
-        else if (!m_placement.admits(*candidate, spec, true))
+        else if (!m_placement.admits(*candidate, spec, { .starved = true }))
             ++result.notAdmitted;
         else if (candidate->excludedUntil > now)
             ++result.excluded;
--- a/src/libsched/scheduler_long_running.cpp
+++ b/src/libsched/scheduler_long_running.cpp
@@ -177,7 +177,7 @@
         if (!mayRun(*candidate, *waiting.queue, spec) || candidate->excludedUntil > now
             || !needed.fitsWhereNeeded(candidate->capacity - candidate->usedByLongRunning
                                        - candidate->held)
-            || !m_placement.admits(*candidate, spec, true)
+            || !m_placement.admits(*candidate, spec, { .starved = true })
             || (waiting.queue->needsTickets && !m_advice.ticketFor(stepName, key.id, now)))
             continue;
         const auto isHere = [candidate](const task &each) {
--- a/src/libsched/scheduler_long_running_test.cpp
+++ b/src/libsched/scheduler_long_running_test.cpp
@@ -14,10 +14,10 @@
     using sched::isolating_placement::isolating_placement;
 
     [[nodiscard]] bool admits(const sched::worker &candidate, const sched::step_spec &step,
-                              bool starved) const override
+                              const sched::placement_terms &terms) const override
     {
         ++asked;
-        return !step.longRunning && isolating_placement::admits(candidate, step, starved);
+        return !step.longRunning && isolating_placement::admits(candidate, step, terms);
     }
 
     mutable std::size_t asked = 0;
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -82,7 +82,7 @@
         worker *const candidate = entry.get(); // lambdas cannot capture the names of a binding
         if (!mayRun(*candidate, queue, spec) || candidate->trials > 0
             || !candidate->hasRoomFor(needed, terms.mayUseHeldFromBatch())
-            || !m_placement.admits(*candidate, spec, terms.starved))
+            || !m_placement.admits(*candidate, spec, terms))
             continue;
         const bool keptForOthers =
                 !terms.overdue
@@ -210,7 +210,7 @@
         if (job.stepSpec(step).maxPerVm > 0)
             eligible = eligibleWorkers(job, queue, occurrence, step, terms, now);
         else if (choice->trials > 0 || !choice->hasRoomFor(needed)
-                 || !m_placement.admits(*choice, job.stepSpec(step), terms.starved))
+                 || !m_placement.admits(*choice, job.stepSpec(step), terms))
             eligible.erase(std::remove(eligible.begin(), eligible.end(), choice), eligible.end());
     }
 }
@@ -342,7 +342,7 @@
         chosen.push_back(choice);
         const bool full = spec.maxPerVm > 0 && ++members[choice] >= spec.maxPerVm;
         if (full || !choice->hasRoomFor(allocation.reserved, terms.mayUseHeldFromBatch())
-            || !m_placement.admits(*choice, spec, terms.starved))
+            || !m_placement.admits(*choice, spec, terms))
             eligible.erase(std::remove(eligible.begin(), eligible.end(), choice), eligible.end());
     }
     for (std::size_t index = 0; index < chosen.size(); ++index)
@@ -399,7 +399,7 @@
         placeSteps(*entry.target, *entry.queue, {}, now);
     if (queueIsShort && !draining)
         placeStarvedJobs();
-    placeStalledJobs(draining || queueIsShort, now);
+    placeStalledJobs(draining, draining || queueIsShort, now);
     for (const ranked &entry : waiting) {
         if (isStarved(*entry.target, now))
             logStarvedJob(*entry.target, *entry.queue, now);
@@ -447,7 +447,7 @@
         if (!mayRun(*candidate, queue, spec) || (excluded && !mayUseExcluded))
             continue;
         const bool hasCapacity = candidate->hasRoomFor(reservation(spec))
-                                 && m_placement.admits(*candidate, spec, false);
+                                 && m_placement.admits(*candidate, spec, {});
         (hasCapacity ? eligible : withoutCapacity).push_back(key.id);
     }
     const std::string name = task_name{ job.request.id, occurrence.number, step, 0 }.stepText();
--- a/src/libsched/scheduler_placing_test.cpp
+++ b/src/libsched/scheduler_placing_test.cpp
@@ -19,10 +19,10 @@
     using sched::isolating_placement::isolating_placement;
 
     [[nodiscard]] bool admits(const sched::worker &candidate, const sched::step_spec &step,
-                              bool starved) const override
+                              const sched::placement_terms &terms) const override
     {
         ++asked;
-        return isolating_placement::admits(candidate, step, starved);
+        return isolating_placement::admits(candidate, step, terms);
     }
 
     mutable std::size_t asked = 0;
--- a/src/libsched/scheduler_stalled_jobs.cpp
+++ b/src/libsched/scheduler_stalled_jobs.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-/// Whether less than half of what the service's workers have is reserved or used by filling tasks.
+/// Whether less than half of what the service's workers have is reserved.
 bool scheduler::isMostlyFree(const std::string &service) const
 {
     return detail::shareInUse(m_workers, service) < maxShareInUse;
@@ -29,15 +29,17 @@
 
 /// Starts a task of the jobs that stand still in a mostly free service, if need be on a worker that
 /// other work is kept from. Exclusions protect the attempts of tasks, and kept workers late jobs; a
-/// job must not wait for their ends for longer. \a starved: little headroom is enough for the
-/// tasks.
-void scheduler::placeStalledJobs(bool starved, instant now)
+/// job must not wait for their ends for longer. \a draining: no jobs come, so that each job without
+/// a run gets one at once, beside filling tasks if need be. \a starved: little headroom is enough
+/// for the tasks.
+void scheduler::placeStalledJobs(bool draining, bool starved, instant now)
 {
+    const duration idleFor = draining ? duration::zero() : duration(stalledAfter);
     std::vector<job *> stalled;
     std::map<std::string, bool> mostlyFree;
     for (job *job : m_open) {
         const queue_config *queue = queueOf(*job);
-        if (!queue || now - job->lastActive < stalledAfter || job->isActive()
+        if (!queue || now - job->lastActive < idleFor || job->isActive()
             || !job->hasStartableTask())
             continue;
         const auto [found, added] = mostlyFree.try_emplace(queue->service);
@@ -69,9 +71,14 @@
     // Earlier ones in this pass may have filled the service.
     if (!isMostlyFree(queue.service))
         return;
-    placeSteps(job, queue, { .starved = starved, .mayUseExcluded = true, .mayUseReserved = true },
+    const bool stalled = now - job.lastActive >= stalledAfter;
+    placeSteps(job, queue,
+               { .starved = starved,
+                 .mayShareLeftOver = starved,
+                 .mayUseExcluded = stalled,
+                 .mayUseReserved = stalled },
                now);
-    if (!job.isActive())
+    if (!stalled || !job.isActive())
         return;
     using std::chrono::milliseconds;
     const auto stalledFor = std::chrono::duration_cast<milliseconds>(now - job.lastActive);
--- a/src/libsched/scheduler_stalled_jobs_test.cpp
+++ b/src/libsched/scheduler_stalled_jobs_test.cpp
@@ -357,4 +357,27 @@
     }
 }
 
+// Guards against a filling job that waits for processors that other filling tasks use, although
+// their use counts against no capacity: review/10.
+BOOST_AUTO_TEST_CASE(aFillingJobStartsBesideFillingTasksThatUseAllProcessors)
+{
+    fleet_model model(2);
+    model.longRunningMs = 3'600'000;
+    model.run(1'000);
+    auto filler = model.submission("filler", 2, 4'000);
+    filler.submitted->spec->steps[0]->fills = true;
+    filler.submitted->spec->steps[0]->longRunning = true;
+    model.send(filler);
+    model.run(2'000);
+    BOOST_REQUIRE(model.starts.size() == 2U);
+    constexpr std::uint32_t tasks = 4;
+    auto late = model.submission("late", tasks, 3'000);
+    late.submitted->spec->steps[0]->fills = true;
+    model.send(late);
+    BOOST_TEST(waitUntilRunning(model, "late", 30'000) < maxStandstillMs);
+    // It does not wait between its tasks, either.
+    BOOST_TEST(model.runUntil("late", job_state::completed, tasks * (fleet_model::taskMs + 500)));
+    requireNoViolations(model);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/share_in_use.cpp
+++ b/src/libsched/share_in_use.cpp
@@ -22,7 +22,6 @@
         if (worker->service != service)
             continue;
         used = used + worker->used;
-        used.cpu += worker->fillingCpu;
         capacity = capacity + worker->capacity;
     }
     return std::max({ share(used.cpu, capacity.cpu), share(used.memoryMb, capacity.memoryMb),
--- a/src/libsched/share_in_use.h
+++ b/src/libsched/share_in_use.h
@@ -9,7 +9,7 @@
 namespace plantainpitch::sched::detail {
 
 /// The largest share, over the kinds of resources, of what the service's workers have that is
-/// reserved or used by filling tasks; 1 is all of it.
+/// reserved; 1 is all of it. Filling tasks reserve no processors: they use what the others leave.
 [[nodiscard]] double shareInUse(const std::map<worker_key, std::unique_ptr<worker>> &workers,
                                 const std::string &service);
 
