Count no processors of filling tasks in the random test of standing jobs

Change: what is free is what the platform counts as free. The check is stricter: more fleets count as mostly free, and more jobs as able to start.

--- a/src/libsched/scheduler_stalled_random_test.cpp
+++ b/src/libsched/scheduler_stalled_random_test.cpp
@@ -263,9 +263,8 @@
         return job ? &job->stepSpec(name->step) : nullptr;
     }
 
-    /// What runs on the node; filling tasks count with the processors that they use if
-    /// \a withFilling.
-    [[nodiscard]] sched::resources usedOn(const fleet_model::node &node, bool withFilling) const
+    /// What runs on the node. The processors of filling tasks count against no capacity.
+    [[nodiscard]] sched::resources usedOn(const fleet_model::node &node) const
     {
         sched::resources used;
         for (const auto &[task, state] : node.worker.running) {
@@ -273,8 +272,6 @@
             if (!spec)
                 continue;
             used = used + sched::reservation(*spec);
-            if (withFilling && spec->fills)
-                used.cpu += spec->cpu;
         }
         return used;
     }
@@ -286,7 +283,7 @@
         for (const auto &each : m_model.nodes) {
             if (!each.worker.up)
                 continue;
-            used = used + usedOn(each, true);
+            used = used + usedOn(each);
             capacity = capacity + sched::capacityOf(each.worker.info);
         }
         return 2 * used.cpu < capacity.cpu && 2 * used.memoryMb < capacity.memoryMb;
@@ -318,9 +315,10 @@
                 || (!step.requiredLabel.empty()
                     && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end()))
                 continue;
-            const sched::resources used = usedOn(each, step.fills);
-            const std::int64_t here = std::min((info.cpu - used.cpu) / step.cpu,
-                                               (info.memoryMb - used.memoryMb) / step.memoryMb);
+            const sched::resources used = usedOn(each);
+            const std::int64_t byMemory = (info.memoryMb - used.memoryMb) / step.memoryMb;
+            const std::int64_t here =
+                    step.fills ? byMemory : std::min((info.cpu - used.cpu) / step.cpu, byMemory);
             slots += std::max<std::int64_t>(here, 0);
             most = std::max(most, here);
         }
