--- a/src/include/plantainpitch/fleet/member_dialer.h
+++ b/src/include/plantainpitch/fleet/member_dialer.h
@@ -34,7 +34,8 @@
     /// is assumed to be replaced.
     static constexpr std::chrono::seconds unreachableTimeout{ 20 };
 
-    /// The keep-alives of a link are at most twice its keepAliveInterval apart.
+    /// A member that has sent nothing for longer does not count as heard. The keep-alives of a link
+    /// are at most twice its keepAliveInterval apart.
     static constexpr std::chrono::milliseconds maxSilence{ 1'100 };
 
     member_dialer(boost::asio::io_context &context, sched::owner_hello hello, callbacks callbacks);
--- a/src/include/plantainpitch/sched/placement_policy.h
+++ b/src/include/plantainpitch/sched/placement_policy.h
@@ -49,9 +49,8 @@
 /// Gives filling tasks only processors that are left over, and places them beside serving tasks
 /// only where those are expected to stay within their targets, preferring images that hardly
 /// disturb. A starved job is placed at any headroom, and the agent paces its task accordingly.
-/// Serving tasks are packed onto as few VMs as their steps allow. Otherwise filling
-/// tasks could occupy every VM, disturb serving tasks and be paced down everywhere, and both would
-/// be late.
+/// Serving tasks are packed onto as few VMs as their steps allow. Otherwise filling tasks could
+/// occupy every VM, disturb serving tasks and be paced down everywhere, and both would be late.
 class isolating_placement : public placement_policy
 {
 public:
--- a/src/libsched/scheduler_calls_test.cpp
+++ b/src/libsched/scheduler_calls_test.cpp
@@ -75,7 +75,8 @@
     unconfigured_owner owner;
     auto repeat = owner.model.submission("known", 1);
     repeat.submitted->spec->steps.clear();
-    BOOST_TEST((owner.outcomeOf(std::move(repeat)) == call_outcome::done));
+    const call_outcome outcome = owner.outcomeOf(std::move(repeat));
+    BOOST_TEST((outcome == call_outcome::done));
 }
 
 // Guards against a job that exists and is said not to: an owner that the store does not reach asks
