Let a starved filling job share left-over processors once no jobs come

Cause: a job shares the processors that filling tasks leave only in a service of which less than half is reserved by the owner's count. That count includes runs that are on their way or have just ended, so it can be above half while the platform's is below. Such a job waited for other filling tasks without a bound.

Result: aFillingJobSharesLeftOverProcessorsInAServiceThatIsMoreThanHalfInUse failed before (no run within 30 s) and passes.

--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -381,10 +381,12 @@
               [](const ranked &a, const ranked &b) { return a.rank < b.rank; });
     if (waiting.size() > maxJobsPerPass)
         waiting.resize(maxJobsPerPass);
+    const bool draining = now - m_lastSubmission >= drainDetectionDelay;
     const auto placeStarvedJobs = [&] {
         for (const ranked &entry : waiting) {
             if (now - entry.target->lastActive >= starvationThreshold && !entry.target->isActive())
-                placeSteps(*entry.target, *entry.queue, { .starved = true }, now);
+                placeSteps(*entry.target, *entry.queue,
+                           { .starved = true, .mayShareLeftOver = draining }, now);
         }
     };
     const bool queueIsShort = static_cast<double>(waiting.size())
@@ -392,7 +394,6 @@
     // While jobs are being submitted, starved jobs would take capacity from jobs that can still
     // meet their objective. Once the queue drains, the most valuable jobs would take all capacity
     // from the starved ones, so these come first.
-    const bool draining = now - m_lastSubmission >= drainDetectionDelay;
     if (draining)
         placeStarvedJobs();
     for (const ranked &entry : waiting)
--- a/src/libsched/scheduler_stalled_jobs_test.cpp
+++ b/src/libsched/scheduler_stalled_jobs_test.cpp
@@ -380,4 +380,27 @@
     requireNoViolations(model);
 }
 
+// Guards against a filling job without a run that waits for others, in a service that is a little
+// more than half in use, until the use drops and the platform calls the job lost.
+BOOST_AUTO_TEST_CASE(aFillingJobSharesLeftOverProcessorsInAServiceThatIsMoreThanHalfInUse)
+{
+    fleet_model model(2);
+    model.longRunningMs = 3'600'000;
+    model.run(1'000);
+    auto reserving = model.submission("reserving", 2, 2'500); // of 4,000 on each worker
+    reserving.submitted->spec->steps[0]->longRunning = true;
+    model.send(reserving);
+    auto filler = model.submission("filler", 2, 1'500);
+    filler.submitted->spec->steps[0]->fills = true;
+    filler.submitted->spec->steps[0]->longRunning = true;
+    model.send(filler);
+    model.run(4'000);
+    BOOST_REQUIRE(model.starts.size() == 4U);
+    auto late = model.submission("late", 2, 1'500);
+    late.submitted->spec->steps[0]->fills = true;
+    model.send(late);
+    BOOST_TEST(waitUntilRunning(model, "late", 30'000) < maxStandstillMs);
+    requireNoViolations(model);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
