Count an attempt in the soak only if its lease lasted until its note

Cause: the check. The platform's rule on attempts counts ends that are taken note of, and says that an end is not taken note of if the worker's lease lapsed between the two. The check counted such ends.

Change: the stand-in for a worker reports lapses of its lease; an end as failed that was not noted by then is no attempt. The check is as strict for all others, and the check on starts after a noted end is unchanged.

--- a/testsuite/soak/http_service.py
+++ b/testsuite/soak/http_service.py
@@ -62,6 +62,7 @@
                 pass  # connections break off during faults
 
         self._server = Server(address, Handler)
+        self.port = self._server.server_address[1]
         threading.Thread(target=self._server.serve_forever, args=(0.05,), daemon=True).start()
 
     def close(self):
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -44,7 +44,8 @@
                                          f"has run since {earlier['started']:.3f}")
             self._runs[run.task].append({"number": run.number, "worker": worker.name,
                                          "born": worker.born, "started": now, "ended": None,
-                                         "how": None, "end_number": None, "noted": False})
+                                         "how": None, "end_number": None, "noted": False,
+                                         "lapsed": False})
             self._check_order(run, job, occurrence, step)
             self._check_room(worker, run, request.get("received", now))
 
@@ -98,13 +99,24 @@
                 self._break("BUDGET", f"{run.task}/{run.number} is the start "
                                       f"{self._crashes_seen[run.task]} that crashed a worker")
 
+    def _ended_on(self, worker):
+        return [each for runs in self._runs.values() for each in runs
+                if each["worker"] == worker.name and each["born"] == worker.born
+                and each["end_number"]]
+
     def ends_noted(self, worker, number):
         with self._lock:
-            for runs in self._runs.values():
-                for each in runs:
-                    if each["worker"] == worker.name and each["born"] == worker.born \
-                            and each["end_number"] and each["end_number"] <= number:
-                        each["noted"] = True
+            for each in self._ended_on(worker):
+                if each["end_number"] <= number:
+                    each["noted"] = True
+
+    def lease_lapsed(self, worker):
+        """Ends that have not been noted by then count as no attempts, even if they are noted
+        later."""
+        with self._lock:
+            for each in self._ended_on(worker):
+                if not each["noted"]:
+                    each["lapsed"] = True
 
     def working(self, job):
         """Tasks of the job that run now."""
@@ -231,7 +243,8 @@
                          if done and each["started"] > done[0]["ended"]]
                 if later:
                     self._break("TWICE", f"{task} started again after its noted end")
-                failed = [each for each in runs if each["how"] == "failed" and each["noted"]]
+                failed = [each for each in runs
+                          if each["how"] == "failed" and each["noted"] and not each["lapsed"]]
                 job = self._jobs[parse(task)[0]]
                 lasting = job.document["steps"][parse(task)[2]].get("long_running")
                 if not lasting and len(failed) > max_attempts:
--- a/testsuite/soak/worker.py
+++ b/testsuite/soak/worker.py
@@ -146,7 +146,12 @@
         except NoAnswer:
             pass  # has crashed meanwhile
 
+    def _check_lease(self):
+        if self.ends and time.monotonic() > self.lease_until:
+            self._promises.lease_lapsed(self)
+
     def _lease(self, request):
+        self._check_lease()
         if request.get("until_ms"):
             until = self.started + request["until_ms"] / 1000
             longest = time.monotonic() + LONGEST_LEASE_S
@@ -265,6 +270,7 @@
         while not self._closed:
             time.sleep(0.02)
             with self._lock:
+                self._check_lease()
                 self._advance(time.monotonic())
 
     def announced(self, capacity):
