Split reports of agents by size

Callers saw: jobs with long checkpoints stood still for good, and so did later jobs, beside sound and empty workers (LOST).

Cause: a report held the checkpoints of all runs and of all ends that were not noted. The owner closes the connection on a message above 1 MiB, and the next report was as long, so that the leases of the worker lapsed and were never granted again.

Change: a report holds ends and checkpoints of up to 500,000 bytes, and the rest follows in the next ones. A checkpoint is reported once to each owner. The worker is reported as lost only with the last of its ends, as the owner takes runs without a known end as lost. A checkpoint longer than any store's record holds is not reported.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -104,6 +104,7 @@
         /// Listings of earlier holds do not prove that the run is absent.
         std::uint64_t firstConclusiveHold = 0;
         std::string checkpoint;
+        bool checkpointDue = false; ///< the owner of the present connection has not got it
         std::uint32_t percent = 0;
         std::uint32_t usage = 0;
         /// Pace that the worker has confirmed; none if it is not known.
@@ -123,7 +124,8 @@
     void describeRun(const start_order &description);
     void report(instant now);
     [[nodiscard]] bool isVacant(instant now) const;
-    void reportAllRuns(agent_report &content, instant now) const;
+    [[nodiscard]] std::size_t reportEnds(agent_report &content);
+    void reportAllRuns(agent_report &content, std::size_t bytes, instant now);
     [[nodiscard]] std::unique_ptr<run_status> statusOf(const run_key &key, const run_state &state,
                                                        instant now) const;
     [[nodiscard]] std::vector<crash_history::run> runsAtLastSign() const;
@@ -143,6 +145,7 @@
     void onHoldReply(const worker_call &call, const worker_reply &reply, instant now);
     void onListing(const worker_listing &listing, std::uint64_t holdNumber, instant now);
     void processEnds(const worker_listing &listing);
+    [[nodiscard]] bool isReportable(const std::string &checkpoint, const run_key &key);
     void updateRun(const run_key &key, const run_status &status, instant now);
     void onSuccessor(std::uint64_t startMs, instant now);
     void onUnreachable(const worker_reply &reply, instant now);
@@ -199,7 +202,7 @@
     std::map<std::uint64_t, run_end> m_ends; ///< not yet noted by the owner
     std::uint64_t m_lastEnd = 0;
     std::uint64_t m_endsNoted = 0;
-    std::vector<run_end> m_newEnds;
+    std::vector<run_end> m_newEnds; ///< not reported on the present connection
     std::vector<run_refusal> m_refusals;
     std::vector<advice> m_advice; ///< for the next report
     bool m_listingReceived = false; ///< from the current incarnation
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -1,6 +1,7 @@
 #include "plantainpitch/sched/agent.h"
 
 #include "plantainpitch/sched/job.h"
+#include "plantainpitch/sched/message_limits.h"
 
 #include <algorithm>
 
@@ -180,6 +181,8 @@
     m_advice.clear();
     for (const auto &[number, end] : m_ends)
         m_newEnds.push_back(end);
+    for (auto &[key, state] : m_runs)
+        state.checkpointDue = !state.checkpoint.empty();
     m_nextHold = now;
     return true;
 }
@@ -302,13 +305,29 @@
            && now - *m_firstTick > term + maxDrift + m_options.leaseMargin;
 }
 
+/// Moves ends to the report until it is full, in their order, and returns their size in bytes.
+std::size_t agent::reportEnds(agent_report &content)
+{
+    std::size_t bytes = 0;
+    auto each = m_newEnds.begin();
+    for (; each != m_newEnds.end() && bytes < maxReportBytes; ++each) {
+        bytes += endOverheadBytes + each->checkpoint.size();
+        content.ended.push_back(std::make_unique<run_end>(std::move(*each)));
+    }
+    m_newEnds.erase(m_newEnds.begin(), each);
+    return bytes;
+}
+
 void agent::report(instant now)
 {
     agent_report content;
+    m_reportDue = false;
+    const std::size_t bytes = reportEnds(content);
     content.sentUs = now.time_since_epoch().count();
     content.ordersSeen = m_ordersSeen;
     content.responsive = m_life && m_life->isAnswering();
-    content.lapsed = m_life && m_life->isOver();
+    // The owner takes the runs without a known end as lost.
+    content.lapsed = m_life && m_life->isOver() && m_newEnds.empty();
     if (content.lapsed && m_lapseReportUs == 0)
         m_lapseReportUs = content.sentUs;
     content.vacant = isVacant(now);
@@ -318,9 +337,6 @@
         content.worker = std::make_unique<worker_info>(*m_worker);
         m_workerReported = true;
     }
-    for (run_end &end : m_newEnds)
-        content.ended.push_back(std::make_unique<run_end>(std::move(end)));
-    m_newEnds.clear();
     for (run_refusal &refusal : m_refusals)
         content.refused.push_back(std::make_unique<run_refusal>(std::move(refusal)));
     m_refusals.clear();
@@ -335,9 +351,9 @@
     if (due && m_life && (m_listingReceived || m_life->isOver())) {
         m_completeReportDue = false;
         m_lastComplete = now;
-        reportAllRuns(content, now);
+        reportAllRuns(content, bytes, now);
     }
-    m_reportDue = false;
+    m_reportDue = m_reportDue || !m_newEnds.empty();
     m_lastReport = now;
     m_reports.push_back(std::move(content));
 }
@@ -348,7 +364,6 @@
     auto status = std::make_unique<run_status>();
     status->task = key.first;
     status->run = key.second;
-    status->checkpoint = state.checkpoint;
     status->percent = state.percent;
     status->usage = state.usage;
     // A call that was sent just now has no effect on the work that the report covers.
@@ -361,7 +376,8 @@
     return status;
 }
 
-void agent::reportAllRuns(agent_report &content, instant now) const
+/// \a bytes: size of the ends in the report. Checkpoints that have no room follow in the next ones.
+void agent::reportAllRuns(agent_report &content, std::size_t bytes, instant now)
 {
     const auto addStarting = [&content](const std::string &task, std::uint32_t run) {
         auto added = std::make_unique<run_ref>();
@@ -370,12 +386,21 @@
         content.starting.push_back(std::move(added));
     };
     content.complete = true;
-    for (const auto &[key, state] : m_runs) {
+    for (auto &[key, state] : m_runs) {
         if (state.phase != run_phase::running || !state.listed) {
             addStarting(key.first, key.second);
             continue;
         }
         content.running.push_back(statusOf(key, state, now));
+        if (!state.checkpointDue)
+            continue;
+        if (bytes >= maxReportBytes) {
+            m_reportDue = m_completeReportDue = true;
+            continue;
+        }
+        bytes += state.checkpoint.size();
+        content.running.back()->checkpoint = state.checkpoint;
+        state.checkpointDue = false;
     }
     // Runs whose reported end the owner has not stored yet must not look missing.
     for (const auto &[number, end] : m_ends)
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -1,6 +1,7 @@
 #include "plantainpitch/sched/agent.h"
 
 #include "plantainpitch/sched/job.h"
+#include "plantainpitch/sched/message_limits.h"
 
 #include <algorithm>
 #include <set>
@@ -449,12 +450,28 @@
         if (end.number <= m_lastEnd || end.number <= m_endsNoted)
             continue;
         m_lastEnd = end.number;
-        m_ends[end.number] = end;
-        m_newEnds.push_back(end);
+        run_end &added = m_ends[end.number] = end;
+        if (!isReportable(added.checkpoint, { added.task, added.run }))
+            added.checkpoint.clear();
+        m_newEnds.push_back(added);
         m_reportDue = true;
     }
 }
 
+/// Whether the checkpoint is short enough to be reported; the task otherwise resumes from an
+/// earlier one.
+bool agent::isReportable(const std::string &checkpoint, const run_key &key)
+{
+    if (checkpoint.size() <= maxReportedCheckpointBytes)
+        return true;
+    log(log_level::error, "checkpoint_not_reported",
+        { { "task", key.first },
+          { "run", std::to_string(key.second) },
+          { "bytes", std::to_string(checkpoint.size()) },
+          { "accepted", std::to_string(maxReportedCheckpointBytes) } });
+    return false;
+}
+
 void agent::updateRun(const run_key &key, const run_status &status, instant now)
 {
     const bool known = m_runs.count(key) > 0;
@@ -468,8 +485,11 @@
         m_reportDue = true;
     }
     state.listed = true;
-    if (!status.checkpoint.empty())
+    if (!status.checkpoint.empty() && status.checkpoint != state.checkpoint
+        && isReportable(status.checkpoint, key)) {
         state.checkpoint = status.checkpoint;
+        state.checkpointDue = true;
+    }
     state.percent = status.percent;
     state.usage = status.usage;
 }
