Count crashes whose workers' ends are announced afterwards

Callers would see more workers crash before the job is given up.

Cause: an agent records no crash of a worker that has announced its end or a drain. Ruled out: a report that was lost with its owner. The next owner was connected before the next incarnations answered, and it logged no crash of them either.

Change: if the silence of a worker begins with the end of its connection, what it had announced by then decides. An announced end still counts if it is read up to 300 ms later.

--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -181,6 +181,9 @@
     /// Last sign of life of the current incarnation: a listing, or the end of a connection. Only
     /// listings name the incarnation that answers.
     instant m_lastAlive{};
+    /// What the incarnation had announced when its connection ended; none if its silence, if any,
+    /// began in another way.
+    std::optional<bool> m_readyAtConnectionEnd;
     crash_history m_crashes;
     bool m_crashesDue = false; ///< a report is to name the crashes again
     /// Runs whose leases ended while the worker was silent. They are part of a crash if the
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -19,6 +19,8 @@
 constexpr int claimIntervals = 3;
 /// Announcements are sent about once in an interval.
 constexpr milliseconds claimMargin{ 500 };
+/// The end of a connection may be read this much before an end that was announced ahead of it.
+constexpr milliseconds announcedEndMargin{ 300 };
 
 } // namespace
 
@@ -118,6 +120,7 @@
     m_life = worker_life(confirmed.key);
     m_claims = confirmed.claims;
     m_endAnnounced = false;
+    m_readyAtConnectionEnd.reset();
     m_lapseReportUs = 0;
     m_lapseReported = false;
     // Their questions were asked before this incarnation answered.
@@ -147,6 +150,8 @@
     m_claims.addEnd();
     m_endAnnounced = true;
     m_worker = m_claims.info();
+    if (m_readyAtConnectionEnd && now - m_silentSince <= announcedEndMargin)
+        m_readyAtConnectionEnd = false;
     m_workerReported = false;
     m_nextHold = now;
     m_reportDue = true;
@@ -418,11 +423,12 @@
 }
 
 /// Records that the present incarnation has ended, unless it had no runs or had announced its end.
+/// What is announced in its name after the end of its process is another writer's.
 void agent::recordCrash(instant now)
 {
     std::vector<crash_history::run> runs = m_life->isOver() ? m_runsWhenSilent : runsAtLastSign();
     m_runsWhenSilent.clear();
-    if (runs.empty() || !m_worker->ready)
+    if (runs.empty() || !m_readyAtConnectionEnd.value_or(m_worker->ready))
         return;
     const instant at = m_failedHolds > 0 ? m_silentSince : now;
     if (!m_crashes.add(m_worker->id, m_worker->startMs, std::move(runs), at))
--- a/src/libsched/agent_crashes_test.cpp
+++ b/src/libsched/agent_crashes_test.cpp
@@ -314,6 +314,46 @@
     BOOST_TEST(reported().empty());
 }
 
+// Guards against a crash that is reported because the end of the connection was read before the
+// announcement that preceded it.
+BOOST_AUTO_TEST_CASE(aWorkerThatLeavesAsItsConnectionEndsHasNotCrashed)
+{
+    orderStart("a.0.0.0");
+    failHold(worker_reply_kind::unanswered);
+    now += milliseconds(50);
+    subject.workerLeft("w", now);
+    refuseTwice();
+    announce(6);
+    BOOST_TEST(reported().empty());
+}
+
+// Guards against crashes that are not counted because another writer has announced the end of the
+// crashed worker: soak seed 47002.
+BOOST_AUTO_TEST_CASE(anEndThatIsAnnouncedAfterACrashDoesNotHideIt)
+{
+    orderStart("a.0.0.0");
+    failHold(worker_reply_kind::unanswered);
+    now += milliseconds(500);
+    subject.workerLeft("w", now);
+    now += milliseconds(2'000);
+    answerHold(6);
+    const auto crashes = reported();
+    BOOST_REQUIRE(crashes.size() == 1U);
+    BOOST_TEST(crashes[0].startMs == 5U);
+    BOOST_TEST(crashes[0].runs.size() == 1U);
+}
+
+// Guards against the same with a claim of another writer in a heartbeat.
+BOOST_AUTO_TEST_CASE(aDrainThatIsAnnouncedAfterACrashDoesNotHideIt)
+{
+    orderStart("a.0.0.0");
+    failHold(worker_reply_kind::unanswered);
+    now += milliseconds(500);
+    announceDraining();
+    refuseTwice();
+    BOOST_TEST(reported().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(silenceIsNoCrashIfTheSameIncarnationAnswersAgain)
 {
     orderStart("a.0.0.0");
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -302,6 +302,7 @@
         onSuccessor(listing.startMs, now);
     recordWorkerClock(reply.clockMs, now);
     m_failedHolds = 0;
+    m_readyAtConnectionEnd.reset();
     m_notRunningReplies = 0;
     if (m_life->hasSuccessor())
         return;
@@ -338,9 +339,12 @@
 {
     if (m_failedHolds == 0) {
         m_silentSince = now;
+        m_readyAtConnectionEnd.reset();
         // A hold that fails before its time-out ends with the worker's process.
-        if (now - m_holdSentAt < milliseconds(maxHoldWaitMs) + connectionEndMargin)
+        if (now - m_holdSentAt < milliseconds(maxHoldWaitMs) + connectionEndMargin) {
             m_lastAlive = now;
+            m_readyAtConnectionEnd = m_worker->ready;
+        }
     }
     ++m_failedHolds;
     m_notRunningReplies =
