--- a/src/libsched/agent_reports_test.cpp
+++ b/src/libsched/agent_reports_test.cpp
@@ -6,8 +6,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace plantainpitch;
 using std::chrono::milliseconds;
