Let the soak's worker answer nothing after its crash

A call on a new connection found no service, which the stand-in took for the service that the call had reached, and so a listing without runs was its answer. No real worker lists its runs after its crash.

Change: the stand-in answers no call that finds it crashed, and carries calls out under its lock.

--- a/testsuite/promises_test.py
+++ b/testsuite/promises_test.py
@@ -110,6 +110,32 @@
         call("/-/hold", {"last_seen": MAX_ATTEMPTS + 2})
         self.assertEqual(self._broken(), ["BUDGET"])
 
+    def test_the_stand_in_for_a_worker_answers_nothing_after_its_crash(self):
+        # Guards against listings without the runs that have crashed the worker: these came from
+        # connections that were opened while the sockets were being closed.
+        plan = {"run_s": lambda run: 60.0, "fails": lambda run: False, "crash_after_s": None}
+        worker = Worker("worker-1", "r0", (LOOPBACK, 0), (LOOPBACK, 1), self._promises,
+                        lambda task: dict(plan, step=SHORT), seed=1)
+        self.addCleanup(worker.close)
+        service = worker.service
+        self.addCleanup(service.close)
+        service.close = lambda: None  # the crash has not reached its sockets yet
+
+        def status_of(target):
+            connection = http.client.HTTPConnection(LOOPBACK, service.port, timeout=5)
+            self.addCleanup(connection.close)
+            connection.request("PUT", target, json.dumps(
+                {"task": TASK, "run": 1, "spec": "payload", "percent": 50, "last_seen": 0,
+                 "until_ms": worker.clock_ms() + LONG_LEASE_MS}))
+            return connection.getresponse().status
+
+        targets = ["/-/run-start", "/-/hold", "/-/pace", "/-/run-stop"]
+        self.assertEqual([status_of(target) for target in targets], [200] * len(targets))
+        self.assertTrue(worker.crash())
+        for target in targets:
+            with self.assertRaises((http.client.HTTPException, OSError), msg=target):
+                status_of(target)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testsuite/soak/worker.py
+++ b/testsuite/soak/worker.py
@@ -117,6 +117,8 @@
     def _handle(self, method, target, headers, body):
         received = time.monotonic()
         service = self.service
+        if not service:
+            raise NoAnswer  # has crashed, and its sockets are about to be closed
         while self.hangs:
             time.sleep(0.05)
         if self.service is not service:
@@ -133,9 +135,12 @@
             threading.Timer(self._random.uniform(*LATE_S), self._carry_out_late,
                             (call, request, born)).start()
             raise NoAnswer
-        answer = call(request)
-        if self.service is not service:
-            raise NoAnswer  # has crashed meanwhile
+        with self._lock:
+            if self.service is not service:
+                raise NoAnswer  # has crashed meanwhile
+            answer = call(request)
+            if self.service is not service:
+                raise NoAnswer  # has crashed while the call waited for ends
         return answer
 
     def _carry_out_late(self, call, request, born):
