Count a long-running task whose run was lost as overdue at once

Cause: a loss is known only when the worker's next incarnation answers or its leases have ended, 2 to 5 s after the last run. The wait began then. For one more second the task had no precedence, and batch work took all capacity of the worker that had returned, so that the task then also waited for batch runs to end.

Change: a long-running task whose run was lost with its worker, or was not there after the worker's restart, counts as overdue at once, as one that waits at a takeover does.

--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -193,7 +193,7 @@
     void stopReplacement(const task_location &location, const std::string &name);
     void stopGang(const task_location &location);
     void recordCheckpoint(const task_location &location, const std::string &checkpoint);
-    void requeueLostRuns(worker &worker, const char *reason);
+    void requeueLostRuns(worker &worker, const char *reason, instant now);
     agent_orders &ordersFor(worker &worker, std::size_t bytes);
 
     // scheduler_placing.cpp
@@ -240,6 +240,7 @@
         std::uint32_t index = 0; ///< of a gang, 0: all members wait
     };
     void treatWaitingTasksAsOverdue(job &job, instant now);
+    static void treatLostTaskAsOverdue(const task_location &location, instant now);
     std::vector<overdue_task> findOverdueLongRunning(instant now);
     void placeOverdueLongRunning(instant now);
     bool placeOverdueTask(const overdue_task &waiting, const placement_terms &terms, instant now);
@@ -311,9 +312,11 @@
     void removeLostWorkers(instant now);
     [[nodiscard]] bool hasOrdersOnTheirWay(const std::string &node,
                                            const agent_report &report) const;
-    void removeWorkersOfVacantAgent(const std::string &node, const agent_report &report);
+    void removeWorkersOfVacantAgent(const std::string &node, const agent_report &report,
+                                    instant now);
     std::map<worker_key, std::unique_ptr<worker>>::iterator
-    removeWorker(std::map<worker_key, std::unique_ptr<worker>>::iterator lost, const char *reason);
+    removeWorker(std::map<worker_key, std::unique_ptr<worker>>::iterator lost, const char *reason,
+                 instant now);
 
     // scheduler_sharing.cpp: interference between tasks on the same worker
     void observeDisturbances(worker &worker, const agent_report &report, instant now);
--- a/src/libsched/scheduler_lasting_test.cpp
+++ b/src/libsched/scheduler_lasting_test.cpp
@@ -196,6 +196,50 @@
     requireNoViolations(fleet.model);
 }
 
+// Guards against a wait that begins only once a loss is known, seconds after the last run: batch
+// work of a higher priority took all capacity of the worker that had returned.
+BOOST_AUTO_TEST_CASE(aTaskWhoseWorkerHasCrashedIsOverdueAtOnce)
+{
+    constexpr std::int64_t returnMs = 500; // too soon for the loss to be known before
+    constexpr std::int64_t loadTaskMs = fleet_model::taskMs;
+    constexpr std::int64_t announcementMs = 300; // until the owner knows of the new incarnation
+    const auto msUntilItRunsAgain = [](std::int64_t crashAfterMs, bool takeover) {
+        busy_fleet fleet(1);
+        auto &queues = fleet.model.config.queues;
+        queues["service"] = queues["batch"];
+        queues["service"].name = "service";
+        queues["service"].priority = 2;
+        fleet.model.newOwner();
+        fleet.model.run(1'000);
+        auto call = fleet.model.submission("service", 1, 500);
+        call.queue = "service";
+        call.submitted->queue = "service";
+        call.submitted->spec->steps[0]->longRunning = true;
+        fleet.model.send(call);
+        while (!fleet.find("service.0.0.0"))
+            fleet.model.run(10);
+        fleet.model.run(crashAfterMs);
+        fleet.model.crashWorker(fleet.model.nodes[0]);
+        fleet.model.nodes[0].worker.restartInMs = returnMs;
+        if (takeover)
+            fleet.model.newOwner();
+        fleet.runUnderLoad(returnMs);
+        BOOST_REQUIRE(fleet.model.nodes[0].worker.up);
+        const std::int64_t returnedMs = fleet.model.timeMs;
+        fleet.runsAgain("service.0.0.0", restartMs);
+        requireNoViolations(fleet.model);
+        return fleet.model.timeMs - returnedMs;
+    };
+    for (const bool takeover : { false, true }) {
+        for (const std::int64_t crashAfterMs : { 5'000, 10 }) { // the run has been reported, or not
+            const std::int64_t took = msUntilItRunsAgain(crashAfterMs, takeover);
+            BOOST_TEST(took <= announcementMs + loadTaskMs,
+                       "crash after " << crashAfterMs << " ms, takeover " << takeover << ": "
+                                      << took << " ms");
+        }
+    }
+}
+
 // Guards against an order by chance among the tasks that wait at a takeover.
 BOOST_AUTO_TEST_CASE(ofTheTasksThatWaitAtATakeoverThatOfTheOldestJobRunsFirst)
 {
--- a/src/libsched/scheduler_long_running.cpp
+++ b/src/libsched/scheduler_long_running.cpp
@@ -45,6 +45,17 @@
     }
 }
 
+/// Treats a long-running task as overdue after its run was lost with the worker, which is known
+/// only seconds later: a wait that began then would let other work take its place.
+void scheduler::treatLostTaskAsOverdue(const task_location &location, instant now)
+{
+    const auto step =
+            static_cast<std::uint32_t>(location.step - location.parentOccurrence->steps.data());
+    task &task = *location.taskState;
+    if (task.phase == task_phase::waiting && location.parentJob->stepSpec(step).longRunning)
+        task.waitingSince = std::min(task.waitingSince.value_or(now), now - overdueAfter);
+}
+
 /// Returns the long-running tasks that have waited too long, the longest wait first and among equal
 /// ones that of the oldest job. A gang counts as one task that waits once all its members do.
 std::vector<scheduler::overdue_task> scheduler::findOverdueLongRunning(instant now)
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -306,6 +306,8 @@
           { "reason", refusal.reason } },
         budgetOf(spec));
     requeue(location);
+    if (refusal.reason == "not_there")
+        treatLostTaskAsOverdue(location, now);
     location.taskState->retryAt = std::max(location.taskState->retryAt, now + refusalPause);
     location.taskState->refused = true;
     stopGang(location);
@@ -354,7 +356,7 @@
     }
 }
 
-void scheduler::requeueLostRuns(worker &worker, const char *reason)
+void scheduler::requeueLostRuns(worker &worker, const char *reason, instant now)
 {
     if (!worker.runs.empty()) {
         log(log_level::warning, "runs_lost",
@@ -379,6 +381,7 @@
                   { "reason", reason } },
                 budgetOf(location.parentJob->stepSpec(task_name::parse(name)->step)));
         requeue(location);
+        treatLostTaskAsOverdue(location, now);
     }
     m_passNeeded = true;
 }
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -107,7 +107,7 @@
         countUnreportedCrash(other, now);
         if (other.key.id == current.key.id)
             transferUnconfirmedRuns(other, current);
-        requeueLostRuns(other, "worker_restarted");
+        requeueLostRuns(other, "worker_restarted", now);
         m_workerByNode.erase(other.agent);
         each = m_workers.erase(each);
     }
@@ -223,7 +223,7 @@
     if (report.worker)
         updateWorker(node, *report.worker, now);
     if (report.vacant)
-        removeWorkersOfVacantAgent(node, report);
+        removeWorkersOfVacantAgent(node, report, now);
     const auto found = m_workerByNode.find(node);
     if (found == m_workerByNode.end()) {
         grantLease(node, nullptr, report, now);
@@ -248,7 +248,7 @@
     for (const auto &refusal : report.refused)
         onRunRefusal(worker, *refusal, now);
     if (report.lapsed)
-        requeueLostRuns(worker, "leases_ended");
+        requeueLostRuns(worker, "leases_ended", now);
     if (lastEnd > 0) {
         agent_orders &orders = ordersFor(worker, 0);
         orders.endsNoted = std::max(orders.endsNoted, lastEnd);
@@ -369,11 +369,11 @@
         const bool mayBeListed = byNode != m_workerByNode.end() && byNode->second == &worker
                                  && m_connected.count(worker.agent) > 0;
         if (!mayBeListed) {
-            each = removeWorker(each, "leases_ended");
+            each = removeWorker(each, "leases_ended", now);
             continue;
         }
         if (!worker.runs.empty())
-            requeueLostRuns(worker, "leases_ended");
+            requeueLostRuns(worker, "leases_ended", now);
         ++each;
     }
 }
@@ -388,24 +388,25 @@
 
 /// The leases of these workers cannot be awaited: grants to the agent extend them, as it may give
 /// them to a worker that it gets to know, and a new owner does not know when they were granted.
-void scheduler::removeWorkersOfVacantAgent(const std::string &node, const agent_report &report)
+void scheduler::removeWorkersOfVacantAgent(const std::string &node, const agent_report &report,
+                                           instant now)
 {
     // A worker that announces itself meanwhile could still carry out a start.
     if (hasOrdersOnTheirWay(node, report))
         return;
     for (auto each = m_workers.begin(); each != m_workers.end();) {
         const worker &worker = *each->second;
-        each = worker.agent == node && !worker.connected ? removeWorker(each, "agent_vacant")
+        each = worker.agent == node && !worker.connected ? removeWorker(each, "agent_vacant", now)
                                                          : std::next(each);
     }
 }
 
 std::map<worker_key, std::unique_ptr<worker>>::iterator
 scheduler::removeWorker(std::map<worker_key, std::unique_ptr<worker>>::iterator lost,
-                        const char *reason)
+                        const char *reason, instant now)
 {
     worker &worker = *lost->second;
-    requeueLostRuns(worker, reason);
+    requeueLostRuns(worker, reason, now);
     const auto byNode = m_workerByNode.find(worker.agent);
     if (byNode != m_workerByNode.end() && byNode->second == &worker)
         m_workerByNode.erase(byNode);
