Give tests fixed ports that Linux gives to no other program

Cause: the test's ports, by its logs. free_ports found 34723 free, for the status of the agent beside vm2; the service beside vm2, which asks for any port, was given it before the agent listened: "cannot listen on 127.0.0.1:34723: Address already in use". The test then asked the service for the agent's status.

Change: fixed ports are below those that Linux gives to programs that ask for any port and to outgoing connections.

--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -12,6 +13,8 @@
 import urllib.request
 
 LOOPBACK = "127.0.0.1"
+# Below those that Linux gives to programs that ask for any port, and to outgoing connections.
+FIXED_PORTS = range(10_000, 32_000)
 
 
 def wait_until(condition, timeout_s, what):
@@ -28,10 +31,15 @@
 
 def free_ports(count):
     """Ports that nothing listens on now. Held together, so that they differ."""
-    sockets = [socket.socket() for _ in range(count)]
+    sockets = []
     try:
-        for one in sockets:
-            one.bind((LOOPBACK, 0))
+        while len(sockets) < count:
+            one = socket.socket()
+            try:
+                one.bind((LOOPBACK, random.choice(FIXED_PORTS)))
+                sockets.append(one)
+            except OSError:
+                one.close()  # in use
         return [one.getsockname()[1] for one in sockets]
     finally:
         for one in sockets:
--- a/testsuite/standin_test.py
+++ b/testsuite/standin_test.py
@@ -118,5 +118,16 @@
         self.assertEqual(cluster.call(port, "GET", "/balance/19")[0], 500)
 
 
+class PortsTest(unittest.TestCase):
+    def test_free_ports_are_given_to_no_program_that_asks_for_any_port(self):
+        # Guards against a program that cannot listen on its port, because another one was given it
+        # after it had been found free.
+        with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="utf-8") as file:
+            first, last = (int(number) for number in file.read().split())
+        ports = cluster.free_ports(100)
+        self.assertEqual(len(set(ports)), len(ports))
+        self.assertEqual([port for port in ports if first <= port <= last], [])
+
+
 if __name__ == "__main__":
     unittest.main(argv=sys.argv, verbosity=2)
