Start nothing in data centres that operators have evacuated

Every node follows the operators' records and refuses starts in its own data centre by itself, so that an owner that has not read them, an order on its way or a takeover changes nothing. The owner leaves evacuated workers out of every choice, passes its list on to the agents, and goes by what they report where it knows less. The list is a whole as of one offset; the higher offset wins.

What runs in an evacuated data centre goes on.

--- a/src/include/plantainpitch/fleet/agent_process.h
+++ b/src/include/plantainpitch/fleet/agent_process.h
@@ -32,6 +32,7 @@
     void workerAnnounced(const sched::worker_announcement &announced);
     void workerLeft(const std::string &id);
     void addServices(const std::set<std::string> &services);
+    void setEvacuations(const sched::evacuation_list &list);
     /// Closes the endpoint once an owner has been told of an end of the worker, at \a latest in any
     /// case, and then calls \a done.
     void stop(instant latest, std::function<void()> done);
--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -38,6 +38,8 @@
     /// Call this about every 100 ms.
     void tick();
     void setConfig(const sched::fleet_config &config, const sched::config_document &document);
+    /// Takes over the list unless a newer one is known, and passes it on to the agents.
+    void setEvacuations(const sched::evacuation_list &list);
     /// Gives up ownership of the partition and leaves the group of candidates, so that another
     /// one takes over at once. \a done is called on completion.
     void stop(std::function<void()> done);
@@ -52,6 +54,7 @@
     void onLoaded(const std::shared_ptr<ownership> &current,
                   const std::vector<sched::stored_record> &records);
     void connectMembers(const std::shared_ptr<ownership> &current);
+    void onMemberOpened(ownership &current, const sched::member &member);
     void onMessage(const std::shared_ptr<ownership> &current, const sched::member &from,
                    const sched::message &content);
     void scheduleFlush();
@@ -74,6 +77,7 @@
     sched::worth_order m_order;
     std::optional<sched::fleet_config> m_config;
     sched::config_document m_document;
+    std::optional<sched::evacuation_list> m_evacuations;
     std::uint64_t m_generation = 0;
     bool m_joining = false;
     bool m_stopping = false;
--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -3,6 +3,7 @@
 #include "plantainpitch/model/instant.h"
 #include "plantainpitch/role/action/write_log.h"
 #include "plantainpitch/sched/crash_history.h"
+#include "plantainpitch/sched/evacuation_list.h"
 #include "plantainpitch/sched/messages.h"
 #include "plantainpitch/sched/pacing.h"
 #include "plantainpitch/sched/resources.h"
@@ -38,6 +39,9 @@
     duration leaseMargin = std::chrono::milliseconds(400);
     /// Between two announcements of a worker.
     duration announcementInterval = std::chrono::milliseconds(1'500);
+    /// After its start, the agent starts nothing for up to this time while it does not know which
+    /// data centres are evacuated. Zero if the deployment has no evacuations.
+    duration evacuationsTimeout{};
 };
 
 /// Runs the tasks of one VM on its worker: executes the owner's orders, renews leases as long as
@@ -53,6 +57,8 @@
     void workerAnnounced(const worker_announcement &announced, instant now);
     /// Handles an announced end of a worker. Its runs are taken as lost once it answers no more.
     void workerLeft(const std::string &id, instant now);
+    /// Takes over the list unless it knows a newer one.
+    void setEvacuations(const evacuation_list &list, instant now);
     /// Adds services that a configuration names.
     void addServices(const std::set<std::string> &services);
 
@@ -134,6 +140,8 @@
              std::vector<std::pair<std::string, std::string>> fields);
 
     // agent_worker_calls.cpp: calls to the worker and handling of its replies
+    [[nodiscard]] bool isEvacuated() const;
+    [[nodiscard]] std::string evacuationObstacle(instant now) const;
     [[nodiscard]] bool fitsBesideRuns(const start_order &order);
     void startRun(const start_order &order, instant now);
     void stopRun(const run_key &key, instant now);
@@ -170,6 +178,7 @@
     std::optional<worker_life> m_life;
     worker_claims m_claims; ///< of the announcements of m_life
     std::set<std::string> m_services; ///< that configurations have named
+    std::optional<evacuation_list> m_evacuations; ///< none is known yet
     worker_candidates m_candidates;
     bool m_workerReported = false; ///< on the current connection
     bool m_endAnnounced = false; ///< by the last announcement of m_life
--- a/src/include/plantainpitch/sched/messages.h
+++ b/src/include/plantainpitch/sched/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plantainpitch/sched/evacuation_list.h"
 #include "plantainpitch/sched/fleet_config.h"
 
 #include <sched_generated.h>
@@ -35,6 +36,7 @@
 using client_call = fb::client_callT;
 using client_answer = fb::client_answerT;
 using config_document = fb::config_documentT;
+using evacuations = fb::evacuationsT;
 using message = fb::messageT;
 
 /// Wraps the content of a message.
@@ -50,6 +52,9 @@
 /// Throws error(protocol_error) if the bytes are not a message.
 message decodeMessage(std::string_view bytes);
 
+evacuations encodeEvacuations(const evacuation_list &list);
+evacuation_list decodeEvacuations(const evacuations &content);
+
 std::string encodeSubmission(const submission &record);
 /// Throws error(protocol_error), or error(invalid_document) if it is no job that can run.
 submission decodeSubmission(std::string_view bytes);
--- a/src/include/plantainpitch/sched/placement_obstacles.h
+++ b/src/include/plantainpitch/sched/placement_obstacles.h
@@ -11,6 +11,7 @@
     std::uint32_t workers = 0; ///< all
     std::uint32_t notConnected = 0;
     std::uint32_t notReady = 0;
+    std::uint32_t evacuated = 0; ///< in an evacuated data centre
     std::uint32_t unresponsive = 0;
     std::uint32_t unsuitable = 0; ///< other service, or without the required label
     std::uint32_t trial = 0; ///< hosts the trial run of a task that may crash its worker
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -5,7 +5,9 @@
 #include "plantainpitch/role/action/write_log.h"
 #include "plantainpitch/sched/advice_cache.h"
 #include "plantainpitch/sched/client_call_kind.h"
+#include "plantainpitch/sched/crash_evidence.h"
 #include "plantainpitch/sched/crash_suspects.h"
+#include "plantainpitch/sched/evacuation_list.h"
 #include "plantainpitch/sched/fleet_config.h"
 #include "plantainpitch/sched/job.h"
 #include "plantainpitch/sched/member_contact.h"
@@ -77,6 +79,7 @@
     void finishLoading(instant now, std::int64_t wallMs);
 
     void setConfig(const fleet_config &config);
+    void setEvacuations(const evacuation_list &list);
     /// The agents that exist, reachable or not.
     void setAgents(std::set<std::string> nodes);
     /// To be called before each tick().
@@ -258,22 +261,6 @@
     void placeLateJob(instant now);
     bool keepWorkerFor(const job &job, const queue_config &queue, instant now);
     // scheduler_crashes.cpp: tasks that are suspected of crashing the workers that start them
-    struct seen_crash
-    {
-        worker_key worker;
-        instant at{};
-        bool conclusive = false; ///< it points to one task
-        bool unreported = false; ///< no agent saw it; \a at is the restart of the worker
-    };
-    struct pending_decision
-    {
-        std::string task;
-        worker_key worker; ///< the worker that crashed
-        bool conclusive = false; ///< the crash points to this task, unless others coincide with it
-        bool mayHaveCoincided = false; ///< an earlier owner counted the crash
-        instant crashedAt{};
-        instant due{};
-    };
     static std::string unitOf(const task_location &location, const std::string &name);
     void onWorkerCrash(const worker_crash &crash, instant now);
     void countUnreportedCrash(const worker &crashed, instant now);
@@ -350,6 +337,7 @@
     disturbance_model &m_disturbances;
     advice_cache m_advice;
     fleet_config m_config;
+    evacuation_list m_evacuations;
     std::map<std::string, double> m_meanWork; ///< of recent jobs by queue, core-milliseconds
     std::map<std::string, queue_config> m_formerQueues; ///< of queues that were removed
     /// By name, as the store has them after the batch on its way.
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -88,6 +88,7 @@
     bool ready = false; ///< not draining
     bool responsive = false;
     bool connected = false; ///< the agent is connected and its runs are known
+    bool evacuated = false; ///< in an evacuated data centre, as far as the owner or the agent knows
     /// It has answered a call of this owner, so that no earlier owner can extend its leases.
     bool fenced = false;
     /// The last instant at which a lease of this incarnation may be valid.
@@ -111,6 +112,8 @@
     std::string loggedExclusion; ///< reason in the log of a present exclusion; empty: none
     instant excludedSince{}; ///< valid if loggedExclusion is set
 
+    /// Whether tasks may be started on it at all.
+    [[nodiscard]] bool isUsable() const { return connected && ready && responsive && !evacuated; }
     [[nodiscard]] resources freeResources() const { return capacity - used; }
     /// Whether the resources fit beside the runs and what is held from the task; see
     /// placement_terms::mayUseHeldFromBatch(). A worker whose capacity has shrunk may have less
--- a/src/libfleet/agent_process.cpp
+++ b/src/libfleet/agent_process.cpp
@@ -29,6 +29,9 @@
                            [this](const sched::message &content) {
                                if (const auto *orders = content.content.Asagent_orders())
                                    m_agent.onOrders(*orders, m_time.now());
+                               else if (const auto *list = content.content.Asevacuations())
+                                   m_agent.setEvacuations(sched::decodeEvacuations(*list),
+                                                          m_time.now());
                                flush();
                            },
                    .closed = [this] { m_agent.ownerClosed(m_time.now()); },
@@ -66,6 +69,13 @@
     m_agent.addServices(services);
 }
 
+void agent_process::setEvacuations(const sched::evacuation_list &list)
+{
+    m_agent.setEvacuations(list, m_time.now());
+    m_agent.tick(m_time.now());
+    flush();
+}
+
 void agent_process::stop(instant latest, std::function<void()> done)
 {
     const bool owes = m_agent.owesEndOfWorker();
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -155,6 +155,8 @@
     current->scheduler->finishLoading(m_time.now(), m_time.wallMs());
     if (m_config)
         current->scheduler->setConfig(*m_config);
+    if (m_evacuations)
+        current->scheduler->setEvacuations(*m_evacuations);
     connectMembers(current);
     scheduleFlush();
 }
@@ -174,11 +176,7 @@
             member_dialer::callbacks{
                     .opened =
                             [this, currentPtr](const sched::member &member) {
-                                if (member.isAgent)
-                                    currentPtr->scheduler->agentOpened(member.node, m_time.now());
-                                else if (m_config)
-                                    currentPtr->members->send(member.node,
-                                                              sched::makeMessage(m_document));
+                                onMemberOpened(*currentPtr, member);
                             },
                     .closed =
                             [this, currentPtr](const sched::member &member) {
@@ -215,6 +213,21 @@
             });
 }
 
+void owner_process::onMemberOpened(ownership &current, const sched::member &member)
+{
+    if (!member.isAgent) {
+        if (m_config)
+            current.members->send(member.node, sched::makeMessage(m_document));
+        return;
+    }
+    // Before any order, as the agent may not reach the store.
+    if (m_evacuations) {
+        current.members->send(member.node,
+                              sched::makeMessage(sched::encodeEvacuations(*m_evacuations)));
+    }
+    current.scheduler->agentOpened(member.node, m_time.now());
+}
+
 void owner_process::onMessage(const std::shared_ptr<ownership> &current, const sched::member &from,
                               const sched::message &content)
 {
@@ -322,6 +335,19 @@
     scheduleFlush();
 }
 
+void owner_process::setEvacuations(const sched::evacuation_list &list)
+{
+    if (m_evacuations && m_evacuations->asOf > list.asOf)
+        return;
+    m_evacuations = list;
+    if (!m_ownership || !m_ownership->scheduler)
+        return;
+    m_ownership->scheduler->setEvacuations(list);
+    if (m_ownership->members)
+        m_ownership->members->sendToAll(sched::makeMessage(sched::encodeEvacuations(list)), true);
+    scheduleFlush();
+}
+
 void owner_process::endOwnership(const char *reason)
 {
     writeLog(log_level::warning, "partition_lost", { { "reason", reason } });
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -51,6 +51,30 @@
     m_services.insert(services.begin(), services.end());
 }
 
+void agent::setEvacuations(const evacuation_list &list, instant now)
+{
+    if (m_evacuations && list.asOf < m_evacuations->asOf)
+        return;
+    const bool changed = !m_evacuations || m_evacuations->dataCentres != list.dataCentres;
+    m_evacuations = list;
+    if (!changed)
+        return;
+    m_reportDue = true;
+    const duration sinceStart = m_firstTick ? now - *m_firstTick : duration::zero();
+    log(log_level::info, "evacuations_known",
+        { { "as_of", std::to_string(list.asOf) },
+          { "data_centres", textOf(list) },
+          { "own", isEvacuated() ? "yes" : "no" },
+          { "since_start_ms",
+            std::to_string(std::chrono::duration_cast<milliseconds>(sinceStart).count()) } });
+}
+
+/// Whether the worker is in an evacuated data centre.
+bool agent::isEvacuated() const
+{
+    return m_evacuations && m_worker && m_evacuations->includes(m_worker->dataCentre);
+}
+
 void agent::workerAnnounced(const worker_announcement &announced, instant now)
 {
     const worker_key key = announced.key();
@@ -338,6 +362,7 @@
     content.vacant = isVacant(now);
     content.workerFence = m_workerFence;
     content.leasedMs = leasedMs(now);
+    content.evacuated = isEvacuated();
     if (m_worker && !m_workerReported) {
         content.worker = std::make_unique<worker_info>(*m_worker);
         m_workerReported = true;
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -59,6 +59,18 @@
     return false;
 }
 
+/// Returns why evacuations keep tasks from being started now; empty if they do not. The owner may
+/// not have read the operators' newest records, or may have ordered the start before it did.
+std::string agent::evacuationObstacle(instant now) const
+{
+    if (isEvacuated())
+        return "evacuated";
+    const bool mayStillBeRead = !m_firstTick || now - *m_firstTick < m_options.evacuationsTimeout;
+    return !m_evacuations && mayStillBeRead && m_options.evacuationsTimeout > duration::zero()
+                   ? "evacuations_unknown"
+                   : "";
+}
+
 void agent::startRun(const start_order &order, instant now)
 {
     const run_key key{ order.task, order.run };
@@ -68,6 +80,10 @@
         refuse(key, m_life->hasSuccessor() ? workerGoneReason : "draining");
         return;
     }
+    if (const std::string obstacle = evacuationObstacle(now); !obstacle.empty()) {
+        refuse(key, obstacle);
+        return;
+    }
     if (leaseEnd() - now < m_options.minLease || m_workerClockMs == 0) {
         refuse(key, "no_grant");
         return;
--- a/src/libsched/messages.cpp
+++ b/src/libsched/messages.cpp
@@ -48,6 +48,20 @@
     return result;
 }
 
+evacuations encodeEvacuations(const evacuation_list &list)
+{
+    evacuations content;
+    content.asOf = list.asOf;
+    content.dataCentres.assign(list.dataCentres.begin(), list.dataCentres.end());
+    return content;
+}
+
+evacuation_list decodeEvacuations(const evacuations &content)
+{
+    return { .asOf = content.asOf,
+             .dataCentres = { content.dataCentres.begin(), content.dataCentres.end() } };
+}
+
 std::string encodeSubmission(const submission &record)
 {
     return encode<fb::submission>(record);
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -94,6 +94,21 @@
     m_passNeeded = true;
 }
 
+void scheduler::setEvacuations(const evacuation_list &list)
+{
+    if (list.asOf < m_evacuations.asOf)
+        return;
+    const bool changed = list.dataCentres != m_evacuations.dataCentres;
+    m_evacuations = list;
+    if (!changed)
+        return;
+    for (auto &[key, worker] : m_workers)
+        worker->evacuated = m_evacuations.includes(worker->dataCentre);
+    m_passNeeded = true;
+    log(log_level::info, "evacuations_changed",
+        { { "as_of", std::to_string(list.asOf) }, { "data_centres", textOf(list) } });
+}
+
 const job *scheduler::findJob(const std::string &id) const
 {
     const auto found = m_jobs.find(id);
@@ -133,7 +148,7 @@
         log(log_level::debug, "worker_load",
             { { "worker", key.id },
               { "node", worker->agent },
-              { "usable", worker->connected && worker->ready && worker->responsive ? "yes" : "no" },
+              { "usable", worker->isUsable() ? "yes" : "no" },
               { "runs", std::to_string(worker->runs.size()) },
               { "serving", std::to_string(worker->servingRuns) },
               { "reserved_cpu", std::to_string(worker->used.cpu) },
--- a/src/libsched/scheduler_crashes.cpp
+++ b/src/libsched/scheduler_crashes.cpp
@@ -248,7 +248,7 @@
     std::map<std::string, std::int64_t> usable;
     std::map<std::string, std::int64_t> trials;
     for (const auto &[key, worker] : m_workers) {
-        usable[worker->service] += worker->connected && worker->ready && worker->responsive ? 1 : 0;
+        usable[worker->service] += worker->isUsable() ? 1 : 0;
         trials[worker->service] += worker->trials;
     }
     m_trialPlaces.clear();
@@ -271,8 +271,7 @@
     std::ptrdiff_t usable = 0;
     std::ptrdiff_t freeOfTrials = 0;
     for (const auto &[key, worker] : m_workers) {
-        if (worker->service != eligible.front()->service || !worker->connected || !worker->ready
-            || !worker->responsive)
+        if (worker->service != eligible.front()->service || !worker->isUsable())
             continue;
         ++usable;
         freeOfTrials += worker->trials > 0 ? 0 : 1;
--- a/src/libsched/scheduler_gauges.cpp
+++ b/src/libsched/scheduler_gauges.cpp
@@ -31,6 +31,40 @@
     }
 }
 
+struct evacuated_runs
+{
+    std::size_t count = 0;
+    duration oldest{}; ///< time since its start was ordered
+
+    bool operator==(const evacuated_runs &) const = default;
+};
+
+/// The runs that are still on workers in evacuated data centres.
+evacuated_runs findEvacuatedRuns(const std::vector<job *> &jobs,
+                                 const std::map<worker_key, std::unique_ptr<worker>> &workers,
+                                 instant now)
+{
+    evacuated_runs result;
+    const auto add = [&](const task &task) {
+        if (task.phase != task_phase::active)
+            return;
+        const auto place = workers.find(task.place);
+        if (place == workers.end() || !place->second->evacuated)
+            return;
+        ++result.count;
+        result.oldest = std::max(result.oldest, now - task.orderedAt);
+    };
+    for (const job *job : jobs) {
+        for (const occurrence &occurrence : job->occurrences) {
+            for (const step_run &step : occurrence.steps) {
+                if (step.active > 0)
+                    std::for_each(step.tasks.begin(), step.tasks.end(), add);
+            }
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 std::vector<set_gauge> scheduler::gauges(instant now) const
@@ -52,6 +86,9 @@
         ++starvedJobs;
         longestStarvation = std::max(longestStarvation, now - job->lastActive);
     }
+    const evacuated_runs evacuated = m_evacuations.dataCentres.empty()
+                                             ? evacuated_runs()
+                                             : findEvacuatedRuns(m_open, m_workers, now);
     const auto excludedWorkers =
             std::count_if(m_workers.begin(), m_workers.end(),
                           [now](const auto &each) { return each.second->excludedUntil > now; });
@@ -60,7 +97,12 @@
              { .name = "starved_jobs", .value = static_cast<double>(starvedJobs) },
              { .name = "starved_jobs_longest_wait_seconds",
                .value = seconds(longestStarvation).count() },
-             { .name = "excluded_workers", .value = static_cast<double>(excludedWorkers) } };
+             { .name = "excluded_workers", .value = static_cast<double>(excludedWorkers) },
+             { .name = "evacuated_data_centres",
+               .value = static_cast<double>(m_evacuations.dataCentres.size()) },
+             { .name = "evacuated_runs", .value = static_cast<double>(evacuated.count) },
+             { .name = "evacuated_oldest_run_seconds",
+               .value = seconds(evacuated.oldest).count() } };
 }
 
 } // namespace plantainpitch::sched
--- a/src/libsched/scheduler_log.cpp
+++ b/src/libsched/scheduler_log.cpp
@@ -34,6 +34,7 @@
              { "workers", std::to_string(obstacles.workers) },
              { "not_connected", std::to_string(obstacles.notConnected) },
              { "not_ready", std::to_string(obstacles.notReady) },
+             { "evacuated", std::to_string(obstacles.evacuated) },
              { "unresponsive", std::to_string(obstacles.unresponsive) },
              { "unsuitable", std::to_string(obstacles.unsuitable) },
              { "trial", std::to_string(obstacles.trial) },
@@ -70,6 +71,8 @@
             ++result.notConnected;
         else if (!candidate->ready)
             ++result.notReady;
+        else if (candidate->evacuated)
+            ++result.evacuated;
         else if (!candidate->responsive)
             ++result.unresponsive;
         else if (!mayRun(*candidate, queue, spec))
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -61,8 +61,7 @@
 bool scheduler::mayRun(const worker &candidate, const queue_config &queue, const step_spec &step)
 {
     const auto &labels = candidate.labels;
-    return candidate.connected && candidate.ready && candidate.responsive
-           && candidate.service == queue.service
+    return candidate.isUsable() && candidate.service == queue.service
            && (step.requiredLabel.empty()
                || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end());
 }
@@ -301,7 +300,7 @@
 {
     std::map<std::string, std::int64_t> taskSlots;
     for (const auto &[key, worker] : m_workers) {
-        if (worker->service != service)
+        if (worker->service != service || worker->evacuated)
             continue;
         std::int64_t here = taskSlotsOn(worker->capacity, reservation(spec));
         if (spec.maxPerVm > 0)
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -234,6 +234,10 @@
         m_passNeeded = true;
     worker.responsive = report.responsive;
     worker.fenced = worker.fenced || report.workerFence >= m_options.epoch;
+    // The agent may have read newer records than this process.
+    const bool evacuated = report.evacuated || m_evacuations.includes(worker.dataCentre);
+    m_passNeeded = m_passNeeded || evacuated != worker.evacuated;
+    worker.evacuated = evacuated;
     if (report.leasedMs > 0) {
         const auto left = std::chrono::milliseconds(report.leasedMs) * (1 + m_options.clockDrift);
         worker.leasedUntil =
