Bound what clients can make a process hold

Causes, by test: - The parser limits headers and bodies, but takes trailers and a chunk extension as a whole, so they grew in the buffer for as long as they came. They now have the header's limit (431). - Each answered request started one more read of 8 KB, whatever was read ahead already: a client that sends ahead grew the buffer by 8 KB for each request of 30 bytes. Reads now stop at max_early_bytes. - Incomplete requests of many connections had no common bound. Beyond max_held_request_bytes the largest one gets a 503. - Connections beyond the limit were kept to be refused, and those that send nothing kept others out. The connection that has waited longest for its client now gives way; a request that is handled never does. - Member ports took frames of 1 MB from any number of peers that had not said who they are. The first frame may now have 16 KB, and 16 such connections are kept. - A closing link kept what its peer went on sending. - Calls of clients that have gone waited in the gateway without a bound: now 4,096 calls, 16 MB.

The limits are settings of all four programs with a counter by reason.

--- a/src/include/plantainpitch/fleet/member_endpoint.h
+++ b/src/include/plantainpitch/fleet/member_endpoint.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -49,6 +50,7 @@
 private:
     void accept();
     void serve(boost::asio::ip::tcp::socket socket);
+    void addUnidentified(const std::weak_ptr<runtime::frame_link> &link);
     void onFrame(const std::shared_ptr<runtime::frame_link> &link, const std::string &frame);
 
     const member_endpoint_options m_options;
@@ -56,6 +58,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
     std::shared_ptr<runtime::frame_link> m_owner;
+    /// Connections of which no owner has named itself, the oldest one first.
+    std::deque<std::weak_ptr<runtime::frame_link>> m_unidentified;
     std::uint64_t m_epoch = 0; ///< of the last owner that was accepted
     std::uint64_t m_formerEpoch = 0; ///< of the owner before it
 };
--- a/src/include/plantainpitch/runtime/frame_link.h
+++ b/src/include/plantainpitch/runtime/frame_link.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace plantainpitch::runtime {
@@ -39,6 +40,8 @@
     frame_link(boost::asio::ip::tcp::socket connected, frame_link_options options);
 
     void start(callbacks calls);
+    /// Sets the largest frame that is accepted from the peer from now on.
+    void setFrameLimit(std::size_t bytes) { m_reader.setLimit(bytes); }
     void send(const std::string &frame);
     /// When the last bytes came from the peer, those that only show that it lives included.
     [[nodiscard]] std::chrono::steady_clock::time_point lastRead() const { return m_lastRead; }
@@ -60,7 +63,7 @@
     std::array<char, 16UL * 1024> m_chunk{};
     std::string m_queued;
     std::string m_writing;
-    bool m_closing = false;
+    std::optional<std::chrono::steady_clock::time_point> m_closingSince;
     bool m_finished = false;
     std::chrono::steady_clock::time_point m_lastRead;
     std::chrono::steady_clock::time_point m_lastWrite;
--- a/src/include/plantainpitch/sched/gateway.h
+++ b/src/include/plantainpitch/sched/gateway.h
@@ -42,6 +42,10 @@
     /// so a client that retries earlier would be rejected again.
     static constexpr std::chrono::milliseconds maxWaitForOwner{ 1'000 };
     static constexpr std::uint32_t defaultRetryAfterMs = 1'000;
+    /// Bounds of the calls that wait for an answer, also for clients that have gone. A gateway has a
+    /// connection for each waiting client, and no more of these than the default of its limit.
+    static constexpr std::size_t maxOpenCalls = 4'096;
+    static constexpr std::size_t maxOpenBytes = 16UL * 1024 * 1024; ///< of submissions
     /// Clients repeat a submission within seconds.
     static constexpr std::chrono::seconds openOutcomesKept{ 60 };
 
@@ -70,9 +74,12 @@
         instant deadline{};
         bool sent = false; ///< to some owner
         bool waiting = true; ///< for an owner
+        std::size_t bytes = 0; ///< of the submission
     };
 
     void send(open_call &entry);
+    [[nodiscard]] bool hasRoomFor(const open_call &entry) const;
+    void remove(std::map<std::uint64_t, open_call>::iterator entry);
     void expire(const open_call &entry, instant now);
     void finish(const open_call &entry, gateway_status status, const client_answer &content);
     void log(log_level level, const char *event,
@@ -81,6 +88,7 @@
     std::uint64_t m_epoch = 0;
     bool m_connected = false;
     std::map<std::uint64_t, open_call> m_calls;
+    std::size_t m_openBytes = 0; ///< of the submissions in m_calls
     /// Jobs whose submission reached an owner and was not answered, with the time of giving up. No
     /// repeat is told that the job never runs before an owner has said so.
     std::map<std::string, instant> m_openOutcomes;
--- a/src/include/plantainpitch/wire/frame_limits.h
+++ b/src/include/plantainpitch/wire/frame_limits.h
@@ -11,6 +11,10 @@
 /// Maximum size of a frame sent between processes, excluding its length prefix.
 inline constexpr std::size_t maxFrameBytes = 1024UL * 1024;
 
+/// Maximum size of a frame from a peer that has not said yet which process it is. Its first message
+/// holds a few names.
+inline constexpr std::size_t maxFirstFrameBytes = 16UL * 1024;
+
 /// Maximum size of an encoded batch in the log. Larger than maxFrameBytes, because a batch holds
 /// several records, each of which may have arrived in a frame of its own.
 inline constexpr std::size_t maxBatchBytes = 4UL * 1024 * 1024;
--- a/src/include/plantainpitch/wire/frame_reader.h
+++ b/src/include/plantainpitch/wire/frame_reader.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plantainpitch/wire/frame_limits.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,8 +17,11 @@
     /// Appends the next bytes of the stream to the buffer.
     void append(std::string_view bytes);
 
+    /// Sets the largest frame that is accepted from now on; maxFrameBytes until it is called.
+    void setLimit(std::size_t frameBytes) { m_limit = frameBytes; }
+
     /// Returns the next frame without its length prefix, or nothing if it is still incomplete.
-    /// Throws error(protocol_error) if the length prefix is zero or above maxFrameBytes; the stream
+    /// Throws error(protocol_error) if the length prefix is zero or above the limit; the stream
     /// cannot be read any further after that.
     std::optional<std::string> next();
 
@@ -26,6 +31,7 @@
 private:
     std::string m_buffer;
     std::size_t m_readOffset = 0;
+    std::size_t m_limit = maxFrameBytes;
 };
 
 /// Encodes the length prefix of a frame of \a frameBytes bytes.
--- a/src/libfleet/member_endpoint.cpp
+++ b/src/libfleet/member_endpoint.cpp
@@ -18,6 +18,10 @@
 
 static_assert(sched::maxMessageBytes <= wire::maxFrameBytes);
 
+/// Connections of which no owner has named itself; beyond it the oldest one is closed. An owner
+/// names itself at once, and hardly more than two processes take each other for the owner.
+constexpr std::size_t maxUnidentifiedLinks = 16;
+
 } // namespace
 
 member_endpoint::member_endpoint(asio::io_context &context, member_endpoint_options options,
@@ -70,7 +74,9 @@
 {
     auto link =
             std::make_shared<runtime::frame_link>(std::move(socket), runtime::frame_link_options{});
+    link->setFrameLimit(wire::maxFirstFrameBytes);
     const std::weak_ptr<runtime::frame_link> weakLink = link;
+    addUnidentified(weakLink);
     link->start({ .frame =
                           [this, weakLink](const std::string &frame) {
                               if (const auto from = weakLink.lock())
@@ -87,6 +93,18 @@
                           } });
 }
 
+void member_endpoint::addUnidentified(const std::weak_ptr<runtime::frame_link> &link)
+{
+    std::erase_if(m_unidentified, [](const auto &each) { return each.expired(); });
+    if (m_unidentified.size() >= maxUnidentifiedLinks) {
+        if (const auto oldest = m_unidentified.front().lock())
+            oldest->close();
+        m_unidentified.pop_front();
+        m_callbacks.failed("too many connections on which no owner has named itself");
+    }
+    m_unidentified.push_back(link);
+}
+
 void member_endpoint::onFrame(const std::shared_ptr<runtime::frame_link> &link,
                               const std::string &frame)
 {
@@ -102,6 +120,8 @@
             link->close();
             return;
         }
+        std::erase_if(m_unidentified, [&link](const auto &each) { return each.lock() == link; });
+        link->setFrameLimit(wire::maxFrameBytes);
         if (m_owner && m_owner != link)
             m_owner->close();
         m_owner = link;
--- a/src/libruntime/frame_link.cpp
+++ b/src/libruntime/frame_link.cpp
@@ -42,7 +42,7 @@
 
 void frame_link::send(const std::string &frame)
 {
-    if (m_finished || m_closing)
+    if (m_finished || m_closingSince)
         return;
     if (m_queued.size() + frame.size() > m_options.maxQueuedBytes) {
         finish("send_queue_full");
@@ -59,7 +59,7 @@
     if (m_finished)
         return;
     if (m_queued.empty()) {
-        if (m_closing)
+        if (m_closingSince)
             finish("closed");
         return;
     }
@@ -93,8 +93,10 @@
 void frame_link::onBytes(std::size_t count)
 {
     m_lastRead = steady::now();
-    m_reader.append({ m_chunk.data(), count });
-    while (!m_finished && !m_closing) {
+    // What arrives while the link closes is discarded.
+    if (!m_closingSince)
+        m_reader.append({ m_chunk.data(), count });
+    while (!m_finished && !m_closingSince) {
         std::optional<std::string> frame;
         try {
             frame = m_reader.next();
@@ -118,6 +120,10 @@
         finish("idle");
         return;
     }
+    if (m_closingSince && now - *m_closingSince >= m_options.idleTimeout) {
+        finish("closed"); // the peer does not read what is queued
+        return;
+    }
     if (now - m_lastWrite >= m_options.keepAliveInterval && m_writing.empty())
         send(keepAliveFrame);
     m_timer.expires_after(m_options.keepAliveInterval);
@@ -129,7 +135,7 @@
 
 void frame_link::close()
 {
-    m_closing = true;
+    m_closingSince = steady::now();
     m_calls = {};
     if (m_writing.empty() && !m_finished)
         write();
--- a/src/libruntime/http_connection.h
+++ b/src/libruntime/http_connection.h
@@ -9,6 +9,8 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <atomic>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,11 +36,25 @@
     void closeWhenIdle();
     /// Closes the connection at once. Any thread.
     void abort();
+    /// Makes room for other connections, because of a limit: a request that is being read gets a
+    /// 503, otherwise the connection is closed. One whose request is being handled stays. Any
+    /// thread.
+    void yieldTo(const char *limit);
+
+    using steady = std::chrono::steady_clock;
+    /// Since when the server waits for this client to send or read; nothing while a request is
+    /// handled and once the connection closes. Any thread.
+    [[nodiscard]] std::optional<steady::time_point> waitingSince() const;
+    /// Only the client's reading of the last response is waited for. Any thread.
+    [[nodiscard]] bool isClosing() const { return m_closing; }
+    /// Bytes of an incomplete request that this connection holds. Any thread.
+    [[nodiscard]] std::size_t unreadBytes() const { return m_incomplete ? m_heldBytes.load() : 0; }
 
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     enum class phase { idle, reading, handling, writing, closing, closed };
+    static constexpr steady::rep notWaiting = -1;
 
     void nextRequest();
     void closeIfIdle();
@@ -55,6 +71,12 @@
     void onWritten(const boost::system::error_code &code, bool keep);
     void fail(http_response response);
     void finishClosing();
+    [[nodiscard]] http_response rejectLimit(unsigned status, const char *reason,
+                                            const std::string &problem, const std::string &remedy);
+    void setPhase(phase next);
+    void countHeldBytes(std::size_t bytes);
+    void dropRequest();
+    void makeRoom();
     void setDeadline(std::chrono::milliseconds timeout);
     void onDeadline();
     void close();
@@ -67,6 +89,12 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     phase m_phase = phase::idle;
+    /// Of the request that is being read or handled, as counted in the server's heldBytes.
+    std::atomic<std::size_t> m_heldBytes{ 0 };
+    std::atomic<bool> m_incomplete{ false }; ///< a request is being read
+    std::atomic<bool> m_closing{ false };
+    /// Ticks of the steady clock; see waitingSince().
+    std::atomic<steady::rep> m_waitingSince{ notWaiting };
     std::uint64_t m_requestNumber = 0;
     bool m_reading = false; ///< a read is pending
     bool m_continueSent = false;
--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <algorithm>
 #include <vector>
 
 namespace plantainpitch::runtime {
@@ -18,6 +19,30 @@
 
 /// Pause after a failed accept, for example when file descriptors are short.
 constexpr std::chrono::milliseconds acceptRetryTime{ 50 };
+/// Connections beyond the limit that may be open at a time to be refused with a response; further
+/// ones are closed without one.
+constexpr std::size_t maxRefusals = 16;
+
+/// Returns the connection that has waited for its client longest; none if all clients are prompt.
+std::shared_ptr<http_connection> longestWaiting(const detail::http_server_shared &shared)
+{
+    const auto latest =
+            http_connection::steady::now() - shared.options.minWaitBeforeEviction;
+    std::shared_ptr<http_connection> result;
+    for (const auto &each : shared.connections) {
+        const auto since = each->waitingSince();
+        if (since && *since <= latest && (!result || *since < *result->waitingSince()))
+            result = each;
+    }
+    return result;
+}
+
+std::shared_ptr<http_connection> anyClosing(const detail::http_server_shared &shared)
+{
+    const auto found = std::find_if(shared.connections.begin(), shared.connections.end(),
+                                    [](const auto &each) { return each->isClosing(); });
+    return found == shared.connections.end() ? nullptr : *found;
+}
 
 } // namespace
 
@@ -95,14 +120,28 @@
 
 void http_server::state::add(asio::ip::tcp::socket socket)
 {
+    const std::size_t limit = shared->options.maxConnections;
     auto connection = std::make_shared<http_connection>(std::move(socket), shared);
+    std::shared_ptr<http_connection> evicted;
     bool full = false;
     {
         const std::lock_guard lock(shared->mutex);
-        full = shared->connections.size() >= shared->options.maxConnections;
-        shared->connections.insert(connection);
+        const std::size_t open = shared->connections.size();
+        if (open >= limit)
+            evicted = longestWaiting(*shared);
+        full = open >= limit && !evicted;
+        if (open >= limit + maxRefusals && !evicted)
+            evicted = anyClosing(*shared);
+        if (open < limit + maxRefusals || evicted)
+            shared->connections.insert(connection);
+        else
+            connection = nullptr;
     }
-    if (full)
+    if (evicted)
+        evicted->yieldTo("connections");
+    if (!connection)
+        shared->reportLimit("connections");
+    else if (full)
         connection->refuse();
     else
         connection->start();
--- a/src/libruntime/http_server_shared.h
+++ b/src/libruntime/http_server_shared.h
@@ -24,9 +24,16 @@
     const http_server_options options;
     http_handler &handler;
     std::atomic<std::size_t> openRequests{ 0 };
+    std::atomic<std::size_t> heldBytes{ 0 }; ///< of requests, over all connections
     /// Responses carry "Connection: close".
     std::atomic<bool> closeAfterResponse{ false };
 
+    void reportLimit(const char *reason) const
+    {
+        if (options.limitReached)
+            options.limitReached(reason);
+    }
+
     std::mutex mutex;
     /// Connections that are open. Guarded by mutex.
     std::unordered_set<std::shared_ptr<http_connection>> connections;
--- a/src/libruntime/peer_connection.cpp
+++ b/src/libruntime/peer_connection.cpp
@@ -25,7 +25,9 @@
     , m_options(options)
     , m_table(table)
     , m_handler(handler)
-{}
+{
+    m_reader.setLimit(wire::maxFirstFrameBytes);
+}
 
 void peer_connection::start(std::function<void()> ended)
 {
@@ -159,6 +161,7 @@
         return false;
     }
     m_opened = true;
+    m_reader.setLimit(wire::maxFrameBytes);
     m_id = m_table.add(shared_from_this());
     m_handler.onOpened(m_id, peer);
     return !m_finished;
--- a/src/libsched/gateway.cpp
+++ b/src/libsched/gateway.cpp
@@ -42,17 +42,38 @@
     entry.received = now;
     entry.deadline = deadline;
     // The owner would close the connection, on which the calls of other clients wait.
-    if (entry.content.submitted
-        && encodeSubmission(*entry.content.submitted).size() > maxSubmittedBytes) {
+    if (entry.content.submitted)
+        entry.bytes = encodeSubmission(*entry.content.submitted).size();
+    if (entry.bytes > maxSubmittedBytes) {
         log(log_level::warning, "job_too_large", { { "job", entry.content.job } });
         finish(entry, gateway_status::rejected, {});
         return;
     }
+    if (!hasRoomFor(entry)) {
+        log(log_level::warning, "too_many_open_calls",
+            { { "job", entry.content.job },
+              { "calls", std::to_string(m_calls.size()) },
+              { "bytes", std::to_string(m_openBytes) } });
+        expire(entry, now);
+        return;
+    }
     if (m_connected)
         send(entry);
+    m_openBytes += entry.bytes;
     m_calls.emplace(entry.content.number, std::move(entry));
 }
 
+bool gateway::hasRoomFor(const open_call &entry) const
+{
+    return m_calls.size() < maxOpenCalls && m_openBytes + entry.bytes <= maxOpenBytes;
+}
+
+void gateway::remove(std::map<std::uint64_t, open_call>::iterator entry)
+{
+    m_openBytes -= entry->second.bytes;
+    m_calls.erase(entry);
+}
+
 void gateway::finish(const open_call &entry, gateway_status status, const client_answer &content)
 {
     gateway_answer answer;
@@ -90,7 +111,7 @@
         finish(found->second, gateway_status::unknown, {});
         break;
     }
-    m_calls.erase(found);
+    remove(found);
 }
 
 void gateway::tick(instant now)
@@ -104,7 +125,7 @@
             continue;
         }
         expire(call, now);
-        entry = m_calls.erase(entry);
+        remove(entry++);
     }
     std::erase_if(m_openOutcomes,
                   [now](const auto &each) { return now - each.second > openOutcomesKept; });
--- a/src/libsched/gateway_test.cpp
+++ b/src/libsched/gateway_test.cpp
@@ -31,6 +31,21 @@
         return lastCall;
     }
 
+    /// Submits a job with a payload of that size.
+    std::uint64_t submitPayload(const std::string &job, std::size_t bytes)
+    {
+        sched::client_call call;
+        call.number = ++lastCall;
+        call.kind = static_cast<std::uint8_t>(sched::call_kind::submit);
+        call.job = job;
+        call.submitted = std::make_unique<sched::submission>();
+        call.submitted->id = job;
+        call.submitted->spec = std::make_unique<sched::job_spec>();
+        call.submitted->spec->payload = std::string(bytes, 'x');
+        subject.call(std::move(call), now + milliseconds(3'000), now);
+        return lastCall;
+    }
+
     void answer(std::uint64_t number, call_outcome outcome)
     {
         sched::client_answer answer;
@@ -100,4 +115,27 @@
     BOOST_TEST((gateway.status() == gateway_status::not_accepted));
 }
 
+// Guards against a gateway that runs out of memory because clients hand in jobs and leave without
+// waiting for the answers.
+BOOST_AUTO_TEST_CASE(callsThatWaitForAnAnswerAreBounded)
+{
+    gateway_fixture fixture;
+    const std::size_t bytes = 200'000;
+    std::uint64_t sent = 0;
+    while (fixture.subject.openCalls() == sent) {
+        fixture.submitPayload("job-" + std::to_string(sent), bytes);
+        ++sent;
+    }
+    BOOST_TEST(sent <= sched::gateway::maxOpenBytes / bytes + 1);
+    const auto refused = fixture.subject.takeAnswers();
+    BOOST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused.front().status == gateway_status::not_accepted));
+    // Room is free again once calls are answered.
+    fixture.answer(1, call_outcome::done);
+    fixture.subject.takeAnswers();
+    fixture.submitPayload("next", bytes / 2);
+    BOOST_TEST(fixture.subject.takeAnswers().empty());
+    BOOST_TEST(fixture.subject.openCalls() == sent - 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libwire/frame_reader.cpp
+++ b/src/libwire/frame_reader.cpp
@@ -28,10 +28,10 @@
         return std::nullopt;
     const auto *prefix = reinterpret_cast<const unsigned char *>(m_buffer.data() + m_readOffset);
     const std::size_t length = boost::endian::load_little_u32(prefix);
-    if (length == 0 || length > maxFrameBytes) {
+    if (length == 0 || length > m_limit) {
         throw error(error_kind::protocol_error,
                     "announced frame length of " + std::to_string(length)
-                            + " bytes is outside 1 to " + std::to_string(maxFrameBytes),
+                            + " bytes is outside 1 to " + std::to_string(m_limit),
                     "check that the peer is a process of this system");
     }
     if (pendingBytes() < lengthPrefixBytes + length)
--- a/src/plantain-agent/agent_settings.cpp
+++ b/src/plantain-agent/agent_settings.cpp
@@ -77,6 +77,7 @@
     target.add("log_level", logLevel,
                "least severe level of the log lines written to standard error",
                oneOf({ "debug", "info", "warning", "error" }));
+    clients.registerIn(target);
 }
 
 } // namespace plantainpitch::agent
--- a/src/plantain-agent/agent_settings.h
+++ b/src/plantain-agent/agent_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plantainpitch/runtime/client_limits.h"
 #include "plantainpitch/runtime/settings.h"
 
 #include <cstdint>
@@ -28,6 +29,7 @@
     std::uint32_t statusPort = 7003;
     std::uint32_t threads = 2;
     std::string logLevel = "info";
+    runtime::client_limits clients;
 
     void registerIn(runtime::settings &target);
 };
--- a/src/plantain-agent/agent_shell.cpp
+++ b/src/plantain-agent/agent_shell.cpp
@@ -43,11 +43,11 @@
              .maxBodyBytes = wire::maxBodyBytes }; // the answer has to fit in a frame
 }
 
-runtime::http_server_options statusOptions(const agent_settings &values)
+runtime::http_server_options statusOptions(const agent_settings &values, runtime::metrics &counters)
 {
-    return { .address = values.statusAddress,
-             .port = static_cast<std::uint16_t>(values.statusPort),
-             .maxConnections = 64 };
+    return values.clients.applyToMinor({ .address = values.statusAddress,
+                                         .port = static_cast<std::uint16_t>(values.statusPort),
+                                         .limitReached = runtime::countLimits(counters) });
 }
 
 } // namespace
@@ -64,7 +64,7 @@
     , m_serviceHttp(m_core.context(), serviceOptions(values))
     , m_worker(runtime::sendThrough(m_workerHttp), workerTimeout)
     , m_status(m_core.counters(), [this] { return m_role.status(); })
-    , m_statusServer(m_core.context(), statusOptions(values), m_status)
+    , m_statusServer(m_core.context(), statusOptions(values, m_core.counters()), m_status)
     , m_peerOptions{ .self = { .kind = process_kind::agent,
                                .name = values.vm,
                                .dataCentre = values.dataCentre,
--- a/src/plantain-entry/entry_settings.cpp
+++ b/src/plantain-entry/entry_settings.cpp
@@ -44,6 +44,13 @@
     target.add("log_level", logLevel,
                "least severe level of the log lines written to standard error",
                oneOf({ "debug", "info", "warning", "error" }));
+    clients.registerIn(target);
+    target.addCheck([this]() -> std::string {
+        if (clients.maxBodyBytes <= wire::maxBodyBytes)
+            return {};
+        return "max_request_body_bytes is larger than what fits in a frame; give at most "
+               + std::to_string(wire::maxBodyBytes);
+    });
 }
 
 } // namespace plantainpitch::entry
--- a/src/plantain-entry/entry_settings.h
+++ b/src/plantain-entry/entry_settings.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "plantainpitch/runtime/client_limits.h"
 #include "plantainpitch/runtime/settings.h"
+#include "plantainpitch/wire/frame_limits.h"
 
 #include <cstdint>
 #include <string>
@@ -25,6 +27,8 @@
     std::uint32_t threads = 4;
     std::uint32_t routerShards = 2;
     std::string logLevel = "info";
+    /// A body has to fit in a frame.
+    runtime::client_limits clients{ .maxConnections = 10'000, .maxBodyBytes = wire::maxBodyBytes };
 
     void registerIn(runtime::settings &target);
 };
