--- a/src/include/plantainpitch/sched/gateway.h
+++ b/src/include/plantainpitch/sched/gateway.h
@@ -42,8 +42,8 @@
     /// so a client that retries earlier would be rejected again.
     static constexpr std::chrono::milliseconds maxWaitForOwner{ 1'000 };
     static constexpr std::uint32_t defaultRetryAfterMs = 1'000;
-    /// Bounds of the calls that wait for an answer, also for clients that have gone. A gateway has a
-    /// connection for each waiting client, and no more of these than the default of its limit.
+    /// Bounds of the calls that wait for an answer, also for clients that have gone. A gateway has
+    /// a connection for each waiting client, and no more of these than the default of its limit.
     static constexpr std::size_t maxOpenCalls = 4'096;
     static constexpr std::size_t maxOpenBytes = 16UL * 1024 * 1024; ///< of submissions
     /// Clients repeat a submission within seconds.
--- a/src/libruntime/client_limits.cpp
+++ b/src/libruntime/client_limits.cpp
@@ -32,8 +32,7 @@
                "largest one that is being read gets a 503",
                numberBetween(1'024, 2'147'483'647));
     target.add("request_read_timeout_ms", readTimeoutMs,
-               "time in which a whole request must arrive; more: 408",
-               numberBetween(1, 3'600'000));
+               "time in which a whole request must arrive; more: 408", numberBetween(1, 3'600'000));
     target.add("idle_timeout_ms", idleTimeoutMs,
                "time between two requests, or for reading a response, after which a connection is "
                "closed",
--- a/src/libruntime/client_limits_test.cpp
+++ b/src/libruntime/client_limits_test.cpp
@@ -29,11 +29,15 @@
 BOOST_AUTO_TEST_CASE(allLimitsReachTheListener)
 {
     static client_limits limits; // flags refer to it until the process ends
-    const auto [code, errors] =
-            load(limits, { "--max_connections=11", "--max_request_header_bytes=2048",
-                           "--max_request_body_bytes=3000", "--max_early_bytes=44",
-                           "--max_held_request_bytes=5000", "--request_read_timeout_ms=66",
-                           "--idle_timeout_ms=77", });
+    const auto [code, errors] = load(limits, {
+                                                     "--max_connections=11",
+                                                     "--max_request_header_bytes=2048",
+                                                     "--max_request_body_bytes=3000",
+                                                     "--max_early_bytes=44",
+                                                     "--max_held_request_bytes=5000",
+                                                     "--request_read_timeout_ms=66",
+                                                     "--idle_timeout_ms=77",
+                                             });
     BOOST_TEST(!code.has_value());
     BOOST_TEST(errors.empty());
     const http_server_options options = limits.apply({ .address = "127.0.0.9" });
--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -132,8 +132,7 @@
     m_phase = next;
     m_incomplete = next == phase::reading;
     m_closing = next == phase::closing;
-    const bool waits =
-            next == phase::idle || next == phase::reading || next == phase::writing;
+    const bool waits = next == phase::idle || next == phase::reading || next == phase::writing;
     m_waitingSince = waits ? steady::now().time_since_epoch().count() : notWaiting;
 }
 
--- a/src/libruntime/http_server.cpp
+++ b/src/libruntime/http_server.cpp
@@ -26,8 +26,7 @@
 /// Returns the connection that has waited for its client longest; none if all clients are prompt.
 std::shared_ptr<http_connection> longestWaiting(const detail::http_server_shared &shared)
 {
-    const auto latest =
-            http_connection::steady::now() - shared.options.minWaitBeforeEviction;
+    const auto latest = http_connection::steady::now() - shared.options.minWaitBeforeEviction;
     std::shared_ptr<http_connection> result;
     for (const auto &each : shared.connections) {
         const auto since = each->waitingSince();
--- a/src/libruntime/http_server_test.cpp
+++ b/src/libruntime/http_server_test.cpp
@@ -164,8 +164,8 @@
 BOOST_AUTO_TEST_CASE(trailersAndChunkExtensionsAreLimitedLikeHeaders)
 {
     server_fixture f({ .maxHeaderBytes = 1024 });
-    for (const std::string &rest : { "0\r\nX: " + std::string(4096, 'a'),
-                                     "5;" + std::string(4096, 'a') }) {
+    for (const std::string &rest :
+         { "0\r\nX: " + std::string(4096, 'a'), "5;" + std::string(4096, 'a') }) {
         raw_socket socket(f.server.port());
         socket.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + rest);
         BOOST_TEST(contains(socket.receiveAll(), "431"));
@@ -179,7 +179,8 @@
     server_fixture f({ .maxHeaderBytes = 1024 });
     raw_socket socket(f.server.port());
     socket.send("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-                "3;name=value\r\nabc\r\n0\r\nX: " + std::string(500, 't') + "\r\n\r\n");
+                "3;name=value\r\nabc\r\n0\r\nX: "
+                + std::string(500, 't') + "\r\n\r\n");
     BOOST_TEST(contains(socket.receiveUntil("POST /a abc"), "200"));
 }
 
@@ -187,10 +188,9 @@
 BOOST_AUTO_TEST_CASE(theLargestIncompleteRequestGivesWayWhenTooMuchIsHeld)
 {
     std::atomic<int> reached{ 0 };
-    server_fixture f({ .maxHeldBytes = 4096,
-                       .limitReached = [&reached](const char *reason) {
-                           reached += std::string(reason) == "held_bytes" ? 1 : 0;
-                       } });
+    server_fixture f({ .maxHeldBytes = 4096, .limitReached = [&reached](const char *reason) {
+                          reached += std::string(reason) == "held_bytes" ? 1 : 0;
+                      } });
     const std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: ";
     raw_socket large(f.server.port());
     large.send(head + "5000\r\n\r\n" + std::string(3000, 'x'));
--- a/src/plantain-entry/entry_shell.cpp
+++ b/src/plantain-entry/entry_shell.cpp
@@ -59,8 +59,8 @@
                                                         m_core.counters())),
                      m_callers)
     , m_adminServer(m_core.context(),
-                    values.clients.applyToMinor(serverOptions(
-                            values.adminAddress, values.adminPort, m_core.counters())),
+                    values.clients.applyToMinor(serverOptions(values.adminAddress, values.adminPort,
+                                                              m_core.counters())),
                     m_admins)
     , m_peerOptions{ .self = { .kind = process_kind::entry,
                                .name = values.name,
