Check the platform's configuration before it is published

Operators found a faulty or shadowed route only once it was in force. plantainctl check-config lists all errors with their paths and allowed values, entries that can never match and figures that contradict each other; compare-config adds the differences in meaning from the version in force. Not done: labels that no worker announces and tasks larger than each worker, which need the fleet's state.

--- a/src/plantainctl/command.cpp
+++ b/src/plantainctl/command.cpp
@@ -10,7 +10,7 @@
 std::vector<command> allCommands()
 {
     auto commands = documentCommands();
-    for (const auto &more : { jobCommands(), fleetCommands() })
+    for (const auto &more : { jobCommands(), fleetCommands(), configCommands() })
         commands.insert(commands.end(), more.begin(), more.end());
     return commands;
 }
--- a/src/plantainctl/command.h
+++ b/src/plantainctl/command.h
@@ -36,6 +36,7 @@
 std::vector<command> documentCommands();
 std::vector<command> jobCommands();
 std::vector<command> fleetCommands();
+std::vector<command> configCommands();
 /// All of the above, in the order of the help text.
 std::vector<command> allCommands();
 
--- a/src/plantainctl/main.cpp
+++ b/src/plantainctl/main.cpp
@@ -24,7 +24,7 @@
                   << one.help << '\n';
     std::cout << "\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 revision conflict,\n"
                  "4 server not reached (nothing changed), 5 no answer (the call may have taken\n"
-                 "effect), 6 diff found differences.\n\n";
+                 "effect), 6 diff or compare-config found differences.\n\n";
 }
 
 void addFlags(runtime::settings &flags, ctl_options &options)
--- a/testsuite/plantainctl_test.py
+++ b/testsuite/plantainctl_test.py
@@ -114,6 +114,28 @@
                 self.assertIn(path, run.stderr)
         self.assertEqual(FakeEntry.requests, [])
 
+    def test_a_configuration_is_checked_and_compared_before_it_is_sent(self):
+        # Guards against a faulty configuration, or an unintended change, that is found when it is
+        # in force.
+        route = {"name": "r", "host": "a.example", "path_prefix": "/r/", "service": "s",
+                 "priority": 0, "max_attempts": 2, "stretch": 2, "target_latency_ms": 250,
+                 "timeout_ms": 3000}
+        sound = {"version": 7, "routes": [route], "services": [{"name": "s"}]}
+        in_force = self.document(sound)
+        run = self.run_ctl("check-config", in_force)
+        self.assertEqual(run.returncode, 0, run.stderr)
+        changed = self.document({**sound, "version": 8, "routes": [{**route, "stretch": 1.5}]})
+        run = self.run_ctl("compare-config", changed, in_force, "--output=json")
+        self.assertEqual(run.returncode, 6, run.stderr)
+        self.assertEqual([each["path"] for each in json.loads(run.stdout)["differences"]],
+                         ["routes[r].stretch", "version"])
+        faulty = self.document({**sound, "routes": [{**route, "service": "t", "stretch": 0}]})
+        run = self.run_ctl("check-config", faulty, "--output=json")
+        self.assertEqual(run.returncode, 1, run.stderr)
+        self.assertEqual([each["path"] for each in json.loads(run.stdout)["findings"]],
+                         ["routes[0].service", "routes[0].stretch", "services[s]"])
+        self.assertEqual(self.run_ctl("check-config", self.document("{")).returncode, 2)
+
     def test_diff_shows_fields_with_defaults(self):
         # Guards against differences that are only a default written out.
         path = self.document(TEMPLATE)
