--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -218,6 +218,7 @@
     std::vector<run_refusal> m_refusals;
     std::vector<advice> m_advice; ///< for the next report
     bool m_listingReceived = false; ///< from the current incarnation
+    instant m_listedAt{}; ///< last listing of any incarnation
     bool m_endsBeyondListing = false; ///< the last listing may have left out ends
     std::uint64_t m_workerFence = 0; ///< epoch of the last hold that the incarnation has answered
     pacing m_pacing;
--- a/src/include/plantainpitch/sched/progress_monitor.h
+++ b/src/include/plantainpitch/sched/progress_monitor.h
@@ -10,13 +10,14 @@
 
 namespace plantainpitch::sched {
 
-/// Progress of a batch run at a report.
+/// Progress of a batch run at a listing.
 struct run_progress
 {
     std::string task;
     std::string job;
     double doneMs = 0; ///< completed part of its estimated run time
     std::optional<double> pace = 1; ///< share of full speed that it may use; none if not known
+    double estimateMs = 0; ///< estimated run time
 
     bool operator==(const run_progress &) const = default;
 };
@@ -27,8 +28,12 @@
 class progress_monitor
 {
 public:
-    /// Processes a report with all batch runs on the worker.
-    void observe(const std::vector<run_progress> &runs, instant now);
+    /// Processes a listing of all batch runs on the worker. \a at is the time of the listing, by
+    /// any clock that stays the same.
+    void observe(const std::vector<run_progress> &runs, instant at);
+    /// A run has ended as done. Without its rest, only those of the short runs that take long would
+    /// count, as most of them are listed no more than once.
+    void onCompleted(const std::string &task);
 
     /// Returns the run's pace at the last report; none if it is not known.
     [[nodiscard]] std::optional<double> lastPace(const std::string &task) const;
@@ -42,9 +47,10 @@
 private:
     std::map<std::string, run_progress> m_last; ///< by task
     instant m_lastAt{};
-    double m_doneMs = 0; ///< exponentially weighted over the reports
+    double m_completedMs = 0; ///< rest of the runs that have completed since the last listing
+    double m_doneMs = 0; ///< exponentially weighted over the listings
     double m_expectedMs = 0;
-    std::set<std::string> m_jobs; ///< at the last report
+    std::set<std::string> m_jobs; ///< at the last listing
     std::vector<std::string> m_stalled; ///< task names, at most a few
 };
 
--- a/src/include/plantainpitch/sched/worker.h
+++ b/src/include/plantainpitch/sched/worker.h
@@ -96,6 +96,7 @@
     std::map<std::string, allocation> runs; ///< by task name
 
     progress_monitor progress; ///< of its batch runs
+    std::int64_t lastListedUs = 0; ///< agent's clock at the last listing that was reported
 
     // Failures seen on this worker; see worker_health.
     std::vector<job_failure> failedJobs;
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -363,6 +363,7 @@
     content.workerFence = m_workerFence;
     content.leasedMs = leasedMs(now);
     content.evacuated = isEvacuated();
+    content.listedUs = m_listedAt.time_since_epoch().count();
     if (m_worker && !m_workerReported) {
         content.worker = std::make_unique<worker_info>(*m_worker);
         m_workerReported = true;
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -417,6 +417,7 @@
 
 void agent::onListing(const worker_listing &listing, std::uint64_t holdNumber, instant now)
 {
+    m_listedAt = now;
     if (!std::exchange(m_listingReceived, true)) {
         m_completeReportDue = true;
         m_reportDue = true;
--- a/src/libsched/progress_monitor.cpp
+++ b/src/libsched/progress_monitor.cpp
@@ -22,6 +22,10 @@
 /// Runs with a lower pace are ignored: they progress too little to be measured.
 constexpr double minPace = 0.5;
 
+/// Listings are at most this far apart; a longer gap, or a clock that was set back, is that of
+/// another process.
+constexpr double maxGapMs = 5'000;
+
 bool isMeasurable(const run_progress &run)
 {
     return run.pace && *run.pace >= minPace;
@@ -29,11 +33,21 @@
 
 } // namespace
 
-void progress_monitor::observe(const std::vector<run_progress> &runs, instant now)
+void progress_monitor::onCompleted(const std::string &task)
+{
+    const auto listed = m_last.find(task);
+    if (listed != m_last.end() && isMeasurable(listed->second))
+        m_completedMs += std::max(0.0, listed->second.estimateMs - listed->second.doneMs);
+}
+
+void progress_monitor::observe(const std::vector<run_progress> &runs, instant at)
 {
-    const double elapsedMs = milliseconds(now - m_lastAt).count();
-    double doneMs = 0;
-    double expectedMs = 0;
+    const double elapsedMs = milliseconds(at - m_lastAt).count();
+    if (elapsedMs <= 0 || elapsedMs > maxGapMs)
+        m_last.clear();
+    double doneMs = m_completedMs;
+    double expectedMs = m_completedMs;
+    m_completedMs = 0;
     std::set<std::string> jobs;
     std::map<std::string, run_progress> present;
     m_stalled.clear();
@@ -49,7 +63,7 @@
         present[each.task] = each;
     }
     m_last = std::move(present);
-    m_lastAt = now;
+    m_lastAt = at;
     if (runs.empty()) {
         m_doneMs = 0;
         m_expectedMs = 0;
--- a/src/libsched/progress_monitor_test.cpp
+++ b/src/libsched/progress_monitor_test.cpp
@@ -94,4 +94,36 @@
     BOOST_TEST(!subject.isSlow());
 }
 
+// Guards against a sound worker that counts as slow because its short tasks are mostly done before
+// they are listed twice, so that only those that take long remain to be compared.
+BOOST_AUTO_TEST_CASE(runsThatCompleteBetweenTwoListingsCountAsProgress)
+{
+    progress_monitor subject;
+    instant now{ std::chrono::seconds(100) };
+    for (int i = 0; i < 8; ++i) {
+        const auto name = [i](int number) { return std::to_string(2 * (i + number)); };
+        now += std::chrono::seconds(1);
+        // Of three short runs, two complete at once and one takes four times its estimate.
+        subject.observe({ { name(0), "job-a", 0, 1, 600 },
+                          { "quick" + name(0), "job-b", 200, 1, 600 },
+                          { "slow" + name(i % 2), "job-c", 150.0 * (1 + i % 2), 1, 600 } },
+                        now);
+        subject.onCompleted(name(0));
+        subject.onCompleted("quick" + name(0));
+        BOOST_TEST(!subject.isSlow());
+    }
+}
+
+// Guards against a gap in the listings, or another clock, that looks like runs without progress.
+BOOST_AUTO_TEST_CASE(listingsThatAreFarApartAreNotCompared)
+{
+    progress_monitor subject;
+    instant now{ std::chrono::seconds(100) };
+    for (const auto gap : { 10, 20, -25, 30 }) {
+        now += std::chrono::seconds(gap);
+        subject.observe({ { "a", "job-a", 100 }, { "b", "job-b", 100 } }, now);
+        BOOST_TEST(!subject.isSlow());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -283,6 +283,7 @@
     const bool longRunning = location.parentJob->stepSpec(step).longRunning;
     if (outcome == run_outcome::done && !longRunning && !location.parentJob->ended()) {
         recordSuccess(worker, location.taskState->orderedAt, now);
+        worker.progress.onCompleted(end.task);
         taskDone(location);
     } else if (outcome == run_outcome::failed) {
         taskFailed(location, worker, now);
--- a/src/libsched/scheduler_sharing.cpp
+++ b/src/libsched/scheduler_sharing.cpp
@@ -169,13 +169,15 @@
             continue;
         run_progress run{ .task = each->task,
                           .job = location.parentJob->request.id,
-                          .doneMs = each->percent / 100.0 * spec.estimateMs };
+                          .doneMs = each->percent / 100.0 * spec.estimateMs,
+                          .estimateMs = static_cast<double>(spec.estimateMs) };
         if (spec.fills)
             run.pace = each->paceUnknown ? std::nullopt : std::optional(each->pace / 100.0);
         batchRuns.push_back(std::move(run));
     }
     moveThrottledRun(worker, batchRuns, now);
-    worker.progress.observe(batchRuns, now);
+    const instant listedAt = report.listedUs != 0 ? instant(duration(report.listedUs)) : now;
+    worker.progress.observe(batchRuns, listedAt);
     if (!worker.progress.isSlow())
         return;
     if (worker.excludedUntil <= now) {
--- a/src/libsched/scheduler_sharing_test.cpp
+++ b/src/libsched/scheduler_sharing_test.cpp
@@ -236,4 +236,35 @@
     requireNoViolations(model);
 }
 
+// Guards against a sound worker that is excluded, and its runs moved, because it answered late and
+// its last listing was reported again.
+BOOST_AUTO_TEST_CASE(aWorkerThatAnswersLateDoesNotCountAsSlow)
+{
+    fleet_model model(1);
+    model.run(1'000);
+    for (const char *id : { "a", "b" }) {
+        auto call = model.submission(id, 2);
+        call.submitted->spec->steps[0]->estimateMs = 20'000;
+        model.send(call);
+    }
+    model.run(300);
+    auto &node = model.nodes.front();
+    BOOST_REQUIRE(node.worker.running.size() == 4U);
+    for (auto &[task, state] : node.worker.running)
+        state.leftMs = 20'000;
+    model.run(3'000);
+    bool excluded = false;
+    for (int i = 0; i < 4; ++i) {
+        node.workerSilent = true;
+        model.run(1'300);
+        node.workerSilent = false;
+        model.run(200);
+        for (const auto &[key, worker] : model.owner->workers())
+            excluded = excluded || worker->excludedUntil > model.now();
+    }
+    BOOST_TEST(!excluded);
+    BOOST_TEST(node.worker.running.size() == 4U);
+    requireNoViolations(model);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -260,8 +260,15 @@
     if (report.complete) {
         worker.connected = true;
         reconcile(worker, report, now);
-        observeDisturbances(worker, report, now);
-        watchProgress(worker, report, now);
+        // A worker that is slow to answer has its last listing reported again, which shows no
+        // progress and no new load.
+        const bool repeated =
+                report.listedUs != 0
+                && report.listedUs == std::exchange(worker.lastListedUs, report.listedUs);
+        if (!repeated) {
+            observeDisturbances(worker, report, now);
+            watchProgress(worker, report, now);
+        }
     }
     grantLease(node, &worker, report, now);
 }
