--- a/src/libsched/progress_monitor.cpp
+++ b/src/libsched/progress_monitor.cpp
@@ -26,6 +26,15 @@
 /// another process.
 constexpr double maxGapMs = 5'000;
 
+/// Workers report progress in whole percent.
+constexpr double progressSteps = 100;
+
+/// Whether the listings show the progress that the run makes in \a elapsedMs.
+bool showsProgress(const run_progress &run, double elapsedMs)
+{
+    return run.estimateMs <= progressSteps * elapsedMs;
+}
+
 bool isMeasurable(const run_progress &run)
 {
     return run.pace && *run.pace >= minPace;
@@ -53,7 +62,8 @@
     m_stalled.clear();
     for (const run_progress &each : runs) {
         const auto before = m_last.find(each.task);
-        if (before != m_last.end() && isMeasurable(before->second) && isMeasurable(each)) {
+        if (before != m_last.end() && isMeasurable(before->second) && isMeasurable(each)
+            && showsProgress(each, elapsedMs)) {
             doneMs += std::max(0.0, each.doneMs - before->second.doneMs);
             expectedMs += elapsedMs * *each.pace;
             jobs.insert(each.job);
--- a/src/libsched/progress_monitor_test.cpp
+++ b/src/libsched/progress_monitor_test.cpp
@@ -126,4 +126,16 @@
     }
 }
 
+// Guards against a run of hours that looks stalled, as its progress is listed in whole percent.
+BOOST_AUTO_TEST_CASE(aRunThatTakesLongerThanAPercentShowsDoesNotCountAsStalled)
+{
+    progress_monitor subject;
+    instant now{ std::chrono::seconds(100) };
+    for (int i = 0; i < 8; ++i) {
+        now += std::chrono::seconds(1);
+        subject.observe({ { "a", "job-a", 0, 1, 3'600'000 } }, now);
+    }
+    BOOST_TEST(!subject.isSlow());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
