--- a/review/11/case.py
+++ b/review/11/case.py
@@ -64,7 +64,7 @@
         time.sleep(CALM_S)
         answers = []
         for _ in range(ASKED):
-            answers.append(deployment.call("GET", "/work/" + JOB))
+            answers.append(deployment.call("GET", "/jobs/" + JOB))
             time.sleep(0.5)
         gone = sum(1 for status, _ in answers if status == 410)
         known = sum(1 for status, body in answers
@@ -81,7 +81,7 @@
 
 def hand_in(deployment, job, work_s):
     step = {"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": int(work_s * 1000)}
-    return deployment.submit("/work/" + job, {"spec": job, "steps": [step]})
+    return deployment.submit("/jobs/" + job, {"spec": job, "steps": [step]})
 
 
 def restart(process, record, down_s):
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -29,7 +29,7 @@
         for machine in machines if trouble else []:
             change_settings(machine, record)
         ended = [ends_by_itself(machine, record) for machine in machines]
-        served = deployment.submit("/work/" + JOB, {"spec": "case 14", "steps": [STEP]})
+        served = deployment.submit("/jobs/" + JOB, {"spec": "case 14", "steps": [STEP]})
         broken = sum(1 for ends in ended if ends >= STARTS)
         record.write("judged", machines_that_do_not_start=broken, of_changed=CHANGED,
                      job_accepted=served)
--- a/review/kit-3/kit.py
+++ b/review/kit-3/kit.py
@@ -131,7 +131,7 @@
         if advice:
             advice.listen((self.ip(4, 0), ADVICE_PORT), self)
             settings = dict(settings or {}, advice=f"{self.ip(4, 0)}:{ADVICE_PORT}")
-        self.publish(routes or {"work": "/work/"})
+        self.publish(routes or {"work": "/jobs/"})
         self.gateways, self.nodes, self.workers = [], [], []
         program = os.path.join(ROOT, "target")
         for number in range(gateways):
@@ -210,7 +210,7 @@
             time.sleep(0.3)
         return False
 
-    def wait_until_served(self, prefix="/work/", timeout_s=20.0):
+    def wait_until_served(self, prefix="/jobs/", timeout_s=20.0):
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
             if self.call("GET", prefix)[0] == 200:
@@ -253,6 +253,13 @@
     return False
 
 
+def end_processes():
+    for deployment in Deployment.open:
+        for each in getattr(deployment, "gateways", []) + getattr(deployment, "nodes", []):
+            each._process.kill()
+    os._exit(NOT_RUN)
+
+
 def stop_all(record):
     record.write("end", result="not_run", problem="the case took too long")
     for deployment in list(Deployment.open):
@@ -265,6 +272,7 @@
     record = Record(directory)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("begin", trouble=int(trouble))
+    signal.signal(signal.SIGTERM, lambda *_: end_processes())
     watchdog = threading.Timer(LONGEST_S, stop_all, (record,))
     watchdog.daemon = True
     watchdog.start()
