--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -22,6 +22,9 @@
 {
     std::string node;
     std::chrono::milliseconds joinInterval{ 500 };
+    /// The store is asked about the epoch this long after the last call that confirmed it. Two
+    /// checks have to fit into the time for which a confirmation counts.
+    std::chrono::milliseconds checkInterval{ 500 };
     sched::store_limits store;
 };
 
@@ -48,7 +51,7 @@
     struct ownership;
 
     void join();
-    void onJoined(const sched::join_result &result, instant sentAt);
+    void onJoined(const sched::join_result &result);
     void beginOwnership();
     void load(const std::shared_ptr<ownership> &current);
     void onLoaded(const std::shared_ptr<ownership> &current,
@@ -61,6 +64,8 @@
     void flush();
     void appendNext(const std::shared_ptr<ownership> &current);
     void append(const std::shared_ptr<ownership> &current);
+    void checkEpoch(std::shared_ptr<ownership> current);
+    static void confirm(ownership &current, instant sentAt);
     void endOwnership(const char *reason);
     void publishGauges(instant now);
     void clearGauges();
--- a/src/include/plantainpitch/sched/job.h
+++ b/src/include/plantainpitch/sched/job.h
@@ -102,6 +102,11 @@
     }
     [[nodiscard]] job_state state() const;
     [[nodiscard]] bool ended() const { return outcome != job_outcome::open; }
+    /// Clients see that the job has ended.
+    [[nodiscard]] bool isShownAsEnded() const
+    {
+        return committedState != job_state::queued && committedState != job_state::running;
+    }
     /// All tasks of the steps that \a step depends on are done.
     [[nodiscard]] bool dependenciesDone(const occurrence &occurrence, std::uint32_t step) const;
     [[nodiscard]] std::uint32_t occurrenceCount() const
--- a/src/include/plantainpitch/sched/partition_store.h
+++ b/src/include/plantainpitch/sched/partition_store.h
@@ -16,6 +16,12 @@
     unknown, ///< no answer, or nothing was done for now; the same append may be sent again
 };
 
+enum class epoch_status : std::uint8_t {
+    current, ///< no later epoch had begun when the store carried out the call
+    superseded, ///< a later owner has begun its epoch
+    unknown, ///< no answer, or one that tells neither
+};
+
 struct join_result
 {
     bool answered = false;
@@ -43,6 +49,13 @@
     virtual void append(std::uint64_t epoch, std::uint64_t number,
                         const std::vector<stored_record> &records,
                         std::function<void(append_status)> done) = 0;
+    /// Asks whether a later epoch has begun; stores nothing. \a number is that of the last append
+    /// that was stored, 0 if there is none.
+    ///
+    /// Membership in the group does not tell: a process may lose the partition and get it back
+    /// between two joins, and one that has lost it may still begin an epoch.
+    virtual void checkEpoch(std::uint64_t epoch, std::uint64_t number,
+                            std::function<void(epoch_status)> done) = 0;
     /// Reads the newest value of every key; \a answered is false if the store does not answer.
     virtual void
     load(std::function<void(bool answered, std::vector<stored_record> records)> done) = 0;
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -10,8 +10,8 @@
 #include "plantainpitch/sched/evacuation_list.h"
 #include "plantainpitch/sched/fleet_config.h"
 #include "plantainpitch/sched/job.h"
-#include "plantainpitch/sched/member_contact.h"
 #include "plantainpitch/sched/messages.h"
+#include "plantainpitch/sched/ownership_evidence.h"
 #include "plantainpitch/sched/placement_obstacles.h"
 #include "plantainpitch/sched/placement_policy.h"
 #include "plantainpitch/sched/placement_request.h"
@@ -37,6 +37,7 @@
 struct scheduler_options
 {
     std::uint64_t epoch = 0; ///< of this ownership; higher than that of all earlier owners
+    instant epochBegun{}; ///< send time of the call to the store that began the epoch
     /// Lease term of a grant to an agent, by the agent's clock, from when it sent its report.
     duration term = std::chrono::milliseconds(5'500);
     /// Largest relative difference between the rates of two clocks.
@@ -83,9 +84,9 @@
     /// The agents that exist, reachable or not.
     void setAgents(std::set<std::string> nodes);
     /// To be called before each tick().
-    void setContact(const member_contact &contact) { m_contact = contact; }
-    /// The store has confirmed the ownership by an answer to a call sent at \a sent.
-    void confirmOwnership(instant sent) { m_confirmed = std::max(m_confirmed, sent); }
+    void setContact(const member_contact &contact) { m_ownership.setContact(contact); }
+    /// The store has carried out a call under this owner's epoch that was sent at \a sent.
+    void confirmOwnership(instant sent) { m_ownership.confirm(sent); }
 
     /// Calls to store a batch have failed since \a since.
     void storeFailed(instant since) { m_storeFailedSince = since; }
@@ -293,7 +294,6 @@
     void grantLease(const std::string &node, worker *worker, const agent_report &report,
                     instant now);
     [[nodiscard]] bool hasMajority() const;
-    [[nodiscard]] bool mayBeReplaced(instant now) const;
     [[nodiscard]] instant earlierLeaseEnd(instant now) const;
     void noteEarlierOwners(instant now);
     void removeLostWorkers(instant now);
@@ -361,9 +361,8 @@
     std::map<std::string, std::int64_t> m_trialPlaces;
     std::set<std::string> m_agents;
     std::set<std::string> m_connected;
-    member_contact m_contact;
+    ownership_evidence m_ownership;
     bool m_earlierOwnersEnded = false; ///< no earlier owner hears all of its members
-    instant m_confirmed{};
     std::optional<instant> m_lastActivity; ///< of this process
     std::optional<instant> m_resumed; ///< end of the last suspension of this process
     instant m_takeover{};
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace plantainpitch::fleet {
@@ -26,6 +27,9 @@
     {}
 
     std::uint64_t epoch = 0;
+    instant confirmed{}; ///< send time of the last call that the store carried out in the epoch
+    instant lastCheck{};
+    bool checking = false;
     asio::steady_timer retryTimer;
     std::optional<sched::scheduler> scheduler;
     std::optional<member_dialer> members;
@@ -33,6 +37,7 @@
     std::size_t recordsStored = 0; ///< of the batch
     std::vector<sched::stored_record> appended; ///< records of the append on its way
     std::uint64_t appendNumber = 0;
+    std::uint64_t lastStored = 0; ///< number of an append; 0: none
     std::optional<instant> failedSince; ///< send time of the first failure of the append
     std::set<std::string> removedAgents;
 };
@@ -60,14 +65,17 @@
     const instant now = m_time.now();
     if (!m_joining && !m_stopping && now - m_lastJoin >= m_options.joinInterval)
         join();
-    if (m_ownership && m_ownership->members) {
-        const auto agents = m_ownership->members->agents();
-        m_ownership->scheduler->setAgents({ agents.begin(), agents.end() });
-        m_ownership->scheduler->setContact(m_ownership->members->contact());
-        m_ownership->scheduler->tick(now, m_time.wallMs());
-        flush();
+    const auto current = m_ownership;
+    if (!current || !current->members)
+        return;
+    const auto agents = current->members->agents();
+    current->scheduler->setAgents({ agents.begin(), agents.end() });
+    current->scheduler->setContact(current->members->contact());
+    current->scheduler->tick(now, m_time.wallMs());
+    flush();
+    checkEpoch(current);
+    if (m_ownership == current)
         publishGauges(now);
-    }
 }
 
 void owner_process::publishGauges(instant now)
@@ -87,25 +95,27 @@
 void owner_process::join()
 {
     m_joining = true;
-    const instant sentAt = m_time.now();
-    m_lastJoin = sentAt;
-    m_store.join(m_generation, [this, sentAt](const sched::join_result &result) {
+    m_lastJoin = m_time.now();
+    m_store.join(m_generation, [this](const sched::join_result &result) {
         m_joining = false;
-        onJoined(result, sentAt);
+        onJoined(result);
     });
 }
 
-void owner_process::onJoined(const sched::join_result &result, instant sentAt)
+void owner_process::onJoined(const sched::join_result &result)
 {
     if (!result.answered || m_stopping)
         return;
-    m_generation = result.generation;
+    const bool groupChanged = std::exchange(m_generation, result.generation) != result.generation;
+    if (groupChanged && m_ownership) {
+        writeLog(log_level::info, "group_changed",
+                 { { "generation", std::to_string(m_generation) },
+                   { "owns_partition", result.ownsPartition ? "yes" : "no" } });
+    }
     if (result.ownsPartition && !m_ownership)
         beginOwnership();
     else if (!result.ownsPartition && m_ownership)
         endOwnership("reassigned");
-    if (m_ownership && m_ownership->scheduler)
-        m_ownership->scheduler->confirmOwnership(sentAt);
 }
 
 void owner_process::beginOwnership()
@@ -113,6 +123,7 @@
     writeLog(log_level::info, "partition_assigned",
              { { "generation", std::to_string(m_generation) } });
     m_ownership = std::make_shared<ownership>(m_context);
+    m_ownership->confirmed = m_time.now();
     m_store.beginEpoch([this, current = m_ownership](sched::append_status status,
                                                      std::uint64_t epoch) {
         if (m_ownership != current)
@@ -142,6 +153,7 @@
 {
     sched::scheduler_options options;
     options.epoch = current->epoch;
+    options.epochBegun = current->confirmed;
     options.store = m_options.store;
     current->scheduler.emplace(options, m_placement, m_order, m_disturbances);
     for (const sched::stored_record &record : records) {
@@ -159,6 +171,7 @@
         current->scheduler->setEvacuations(*m_evacuations);
     connectMembers(current);
     scheduleFlush();
+    checkEpoch(current); // loading may have taken long
 }
 
 void owner_process::connectMembers(const std::shared_ptr<ownership> &current)
@@ -298,7 +311,8 @@
                            m_log.observe({ .name = "store_append_latency",
                                            .label = "jobs",
                                            .value = m_time.now() - sentAt });
-                           current->scheduler->confirmOwnership(sentAt);
+                           confirm(*current, sentAt);
+                           current->lastStored = current->appendNumber;
                            current->recordsStored += current->appended.size();
                            if (current->recordsStored < current->batch.size()) {
                                appendNext(current);
@@ -320,6 +334,35 @@
                    });
 }
 
+/// Asks the store whether this process still is the owner, unless an append has shown it lately.
+void owner_process::checkEpoch(std::shared_ptr<ownership> current)
+{
+    const instant now = m_time.now();
+    const instant last = std::max(current->confirmed, current->lastCheck);
+    if (current->checking || now - last < m_options.checkInterval)
+        return;
+    current->checking = true;
+    current->lastCheck = now;
+    const std::uint64_t epoch = current->epoch;
+    const std::uint64_t lastStored = current->lastStored;
+    m_store.checkEpoch(epoch, lastStored,
+                       [this, current = std::move(current), now](sched::epoch_status status) {
+                           current->checking = false;
+                           if (m_ownership != current)
+                               return;
+                           if (status == sched::epoch_status::superseded)
+                               endOwnership("superseded");
+                           else if (status == sched::epoch_status::current)
+                               confirm(*current, now);
+                       });
+}
+
+void owner_process::confirm(ownership &current, instant sentAt)
+{
+    current.confirmed = std::max(current.confirmed, sentAt);
+    current.scheduler->confirmOwnership(sentAt);
+}
+
 void owner_process::setConfig(const sched::fleet_config &config,
                               const sched::config_document &document)
 {
@@ -350,14 +393,18 @@
 
 void owner_process::endOwnership(const char *reason)
 {
-    writeLog(log_level::warning, "partition_lost", { { "reason", reason } });
-    clearGauges();
+    using std::chrono::milliseconds;
     const auto ended = std::exchange(m_ownership, nullptr);
+    const auto age = std::chrono::duration_cast<milliseconds>(m_time.now() - ended->confirmed);
+    writeLog(log_level::warning, "partition_lost",
+             { { "reason", reason },
+               { "epoch", std::to_string(ended->epoch) },
+               { "confirmed_ms_ago", std::to_string(age.count()) } });
+    clearGauges();
     m_store.stopFollowing();
-    if (ended && ended->members)
+    if (ended->members)
         ended->members->close();
-    if (ended)
-        ended->retryTimer.cancel();
+    ended->retryTimer.cancel();
     // Deferred destruction: callbacks of the connections may still be on the stack.
     asio::post(m_context, [ended] {});
 }
--- a/src/libfleet/owner_process_test.cpp
+++ b/src/libfleet/owner_process_test.cpp
@@ -1,5 +1,6 @@
 #include "plantainpitch/fleet/owner_process.h"
 
+#include "epoch_store.h"
 #include "plantainpitch/runtime/manual_clock.h"
 
 #include <boost/test/unit_test.hpp>
@@ -8,47 +9,6 @@
 
 namespace {
 
-/// A store that answers at once and keeps what a test gives it.
-class answering_store : public sched::partition_store
-{
-public:
-    void join(std::uint64_t /*generation*/, std::function<void(sched::join_result)> done) override
-    {
-        done({ .answered = true, .generation = 1, .ownsPartition = ownsPartition });
-    }
-    void leave(std::function<void()> done) override { done(); }
-    void beginEpoch(std::function<void(sched::append_status, std::uint64_t)> done) override
-    {
-        done(sched::append_status::stored, 1);
-    }
-    void append(std::uint64_t /*epoch*/, std::uint64_t number,
-                const std::vector<sched::stored_record> &appended,
-                std::function<void(sched::append_status)> done) override
-    {
-        appends.emplace_back(number, appended);
-        done(failures > 0 ? sched::append_status::unknown : sched::append_status::stored);
-        failures -= failures > 0 ? 1 : 0;
-    }
-    void load(std::function<void(bool, std::vector<sched::stored_record>)> done) override
-    {
-        done(true, records);
-    }
-    void announce(const sched::member & /*self*/, std::function<void(bool)> done) override
-    {
-        done(true);
-    }
-    void followMembers(std::function<void(sched::member)> /*found*/,
-                       std::function<void(const std::string &)> /*left*/) override
-    {}
-    void stopFollowing() override {}
-    void forget(const std::string & /*address*/, std::function<void()> done) override { done(); }
-
-    bool ownsPartition = true;
-    std::vector<sched::stored_record> records;
-    int failures = 0; ///< of the next appends
-    std::vector<std::pair<std::uint64_t, std::vector<sched::stored_record>>> appends;
-};
-
 /// A service of two tasks, for which there is no worker.
 sched::stored_record serviceRecord(const std::string &id = "5c0e7a21d94b36f8",
                                    const std::string &queue = "queue")
@@ -91,7 +51,7 @@
     runtime::metrics counters;
     runtime::event_log log{ lines, counters };
     boost::asio::io_context context;
-    answering_store store;
+    test::epoch_store store;
     fleet::owner_process subject;
 };
 
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -101,7 +101,8 @@
         ++epoch;
         for (node &each : nodes)
             closeLink(each);
-        owner.emplace(sched::scheduler_options{ .epoch = epoch }, placement, order, disturbances);
+        owner.emplace(sched::scheduler_options{ .epoch = epoch, .epochBegun = now() }, placement,
+                      order, disturbances);
         for (const auto &[key, value] : stored)
             owner->load({ key, value });
         owner->setConfig(config);
--- a/src/libsched/scheduler.cpp
+++ b/src/libsched/scheduler.cpp
@@ -21,6 +21,7 @@
     , m_placement(placement)
     , m_order(order)
     , m_disturbances(disturbances)
+    , m_ownership(options.staleOwner, options.epochBegun)
 {}
 
 void scheduler::load(const stored_record &record)
@@ -47,7 +48,6 @@
 void scheduler::finishLoading(instant now, std::int64_t wallMs)
 {
     m_takeover = now;
-    m_confirmed = now;
     m_loaded = true;
     for (auto &[id, entry] : m_jobs) {
         job &job = *entry;
--- a/src/libsched/scheduler_calls_test.cpp
+++ b/src/libsched/scheduler_calls_test.cpp
@@ -80,21 +80,44 @@
 }
 
 // Guards against a job that exists and is said not to: an owner that the store does not reach asks
-// neither it nor its successor, which may have accepted the job.
+// neither it nor its successor, which may have accepted the job. Members may have been restarted
+// since they were connected to the successor, so that all of them may keep to this owner again.
 BOOST_AUTO_TEST_CASE(anOwnerThatMayBeReplacedDoesNotSayThatAJobDoesNotExist)
 {
     unconfigured_owner owner;
     owner.model.storeUp = false;
     owner.model.run(3'000);
-    BOOST_TEST((owner.outcomeOf(call_kind::query, "new") == call_outcome::unknown_job));
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "new") == call_outcome::unavailable));
     owner.model.nodes[0].partitioned = true;
     owner.model.run(3'000);
     BOOST_TEST((owner.outcomeOf(call_kind::query, "new") == call_outcome::unavailable));
     BOOST_TEST((owner.outcomeOf(call_kind::cancel, "new") == call_outcome::unavailable));
-    BOOST_TEST((owner.outcomeOf(call_kind::query, "known") == call_outcome::done));
     owner.model.storeUp = true;
     owner.model.run(100);
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "new") == call_outcome::unknown_job));
     BOOST_TEST((owner.outcomeOf(call_kind::cancel, "new") == call_outcome::unknown_job));
 }
 
+// Guards against a state or a count of an owner that has been replaced, shown as that of now: a job
+// that its successor has cancelled would run on for the client.
+BOOST_AUTO_TEST_CASE(anOwnerThatMayBeReplacedShowsOnlyStatesThatNoLaterOneChanges)
+{
+    unconfigured_owner owner;
+    owner.model.storeUp = false;
+    owner.model.run(3'000);
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "known") == call_outcome::done));
+    BOOST_TEST((owner.outcomeOf(call_kind::count_pending, "") == call_outcome::done));
+    owner.model.nodes[0].partitioned = true;
+    owner.model.run(3'000);
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "known") == call_outcome::unavailable));
+    BOOST_TEST((owner.outcomeOf(call_kind::count_pending, "") == call_outcome::unavailable));
+    owner.model.storeUp = true;
+    owner.model.run(100);
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "known") == call_outcome::done));
+    BOOST_TEST((owner.outcomeOf(call_kind::cancel, "known") == call_outcome::done));
+    owner.model.storeUp = false;
+    owner.model.run(3'000);
+    BOOST_TEST((owner.outcomeOf(call_kind::query, "known") == call_outcome::done));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -41,6 +41,21 @@
     return text;
 }
 
+/// Returns what the answer to a call relies on; nothing if it is sent only after a batch has been
+/// stored, which shows that this process still is the owner.
+std::optional<requested_knowledge> knowledgeFor(call_kind kind, const job *known)
+{
+    if (kind == call_kind::count_pending)
+        return requested_knowledge::pending_jobs;
+    if (kind == call_kind::submit)
+        return std::nullopt;
+    if (!known)
+        return requested_knowledge::unknown_job;
+    if (kind == call_kind::cancel || !known->stored)
+        return std::nullopt;
+    return known->isShownAsEnded() ? requested_knowledge::ended_job : requested_knowledge::open_job;
+}
+
 /// Returns why the job of a submission cannot be accepted; empty if it can.
 std::string problemOf(const client_call &call, const store_limits &limits)
 {
@@ -253,8 +268,8 @@
         refuse(node, call, "no_configuration", notReadyRetry);
         return;
     }
-    const bool asksForJob = kind == call_kind::query || kind == call_kind::cancel;
-    if (asksForJob && !known && mayBeReplaced(now)) {
+    const auto requested = knowledgeFor(kind, known);
+    if (requested && !m_ownership.mayAnswer(*requested, now)) {
         refuse(node, call, "not_confirmed", notReadyRetry);
         return;
     }
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -302,24 +302,17 @@
     m_lastActivity = now;
 }
 
-/// Whether another process may have become the owner. Without the store's confirmation, only
-/// members that keep to this owner show that none has: one that is missing may be connected to it.
-bool scheduler::mayBeReplaced(instant now) const
-{
-    return now - m_confirmed > m_options.staleOwner && !m_contact.all;
-}
-
 void scheduler::grantLease(const std::string &node, worker *worker, const agent_report &report,
                            instant now)
 {
     // Another process may have become the owner meanwhile, and the connections are as they were
     // before the suspension.
     const bool justResumed =
-            m_resumed && now - *m_resumed < resumeDelay && m_confirmed < *m_resumed;
-    if (justResumed || mayBeReplaced(now)) {
+            m_resumed && now - *m_resumed < resumeDelay && m_ownership.confirmed() < *m_resumed;
+    if (justResumed || m_ownership.mayBeReplaced(now)) {
         log(log_level::warning, "grant_withheld",
             { { "node", node },
-              { "all_heard", m_contact.all ? "yes" : "no" },
+              { "all_heard", m_ownership.contact().all ? "yes" : "no" },
               { "connected", std::to_string(m_connected.size()) },
               { "agents", std::to_string(m_agents.size()) } });
         return;
@@ -353,7 +346,7 @@
 void scheduler::noteEarlierOwners(instant now)
 {
     // Processes that have all been restarted do not know of an earlier owner.
-    const bool ended = m_contact.formerlyOwned || hasMajority();
+    const bool ended = m_ownership.contact().formerlyOwned || hasMajority();
     if (ended && !m_earlierOwnersEnded) {
         for (auto &[key, worker] : m_workers) {
             if (!worker->connected && !worker->fenced)
