--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -84,8 +84,8 @@
         self.store_links[name] = Proxy(self._proxies, link, (self._ip(0, 1), STORE_PORT))
         return {"node": name, "ip": ip, "zone": f"z{number % 2}", "region": "r",
                 "port_range": PEER_PORTS, "platform.address": f"{link[0]}:{link[1]}",
-                "heartbeat_ms": int(HEARTBEAT_S * 1000), "bounds.hold_max_ms": 6000,
-                "bounds.grace_s": 6}
+                "heartbeat_ms": int(HEARTBEAT_S * 1000), "bounds.hold_max_ms": 6000.0,
+                "bounds.grace_s": 6.0}
 
     def publish_config(self):
         """Publishes a new version with one more queue."""
