Leave the group only after the answer to the last join

If the store carries out the join last, the partition is with a process that has ended, and calls wait until its membership ends after 1.5 s.

Cause: owner_process::stop() did not look for a join on its way.

Evidence: anOwnerThatStopsLeavesTheGroupOnlyAfterItsLastJoin failed before and passes now. A join without an answer may still be carried out later.

--- a/src/include/plantainpitch/fleet/owner_process.h
+++ b/src/include/plantainpitch/fleet/owner_process.h
@@ -86,6 +86,7 @@
     std::uint64_t m_generation = 0;
     bool m_joining = false;
     bool m_stopping = false;
+    std::function<void()> m_stopDone; ///< of a stop that waits for the answer to a join
     bool m_flushScheduled = false;
     instant m_lastJoin{};
     std::vector<set_gauge> m_gauges; ///< last published
--- a/src/libfleet/epoch_store.h
+++ b/src/libfleet/epoch_store.h
@@ -17,9 +17,16 @@
 public:
     void join(std::uint64_t /*generation*/, std::function<void(sched::join_result)> done) override
     {
-        done({ .answered = true, .generation = 1, .ownsPartition = ownsPartition });
+        ++joined;
+        m_heldJoin = std::move(done);
+        if (!holdJoins)
+            releaseJoin();
+    }
+    void leave(std::function<void()> done) override
+    {
+        ++left;
+        done();
     }
-    void leave(std::function<void()> done) override { done(); }
     void beginEpoch(std::function<void(sched::append_status, std::uint64_t)> done) override
     {
         ++epoch;
@@ -73,6 +80,12 @@
         records = std::move(newRecords);
     }
 
+    void releaseJoin()
+    {
+        if (const auto done = std::exchange(m_heldJoin, nullptr))
+            done({ .answered = true, .generation = 1, .ownsPartition = ownsPartition });
+    }
+
     /// Answers a load that was held with what was read before.
     void releaseLoad(const std::vector<sched::stored_record> &read)
     {
@@ -81,7 +94,10 @@
     }
 
     bool ownsPartition = true;
+    bool holdJoins = false;
     bool holdLoads = false;
+    std::size_t joined = 0; ///< calls of join()
+    std::size_t left = 0; ///< calls of leave()
     std::uint64_t epoch = 0; ///< the latest
     std::vector<sched::stored_record> records;
     std::vector<sched::member> members;
@@ -91,6 +107,7 @@
     std::size_t checked = 0; ///< calls of checkEpoch()
 
 private:
+    std::function<void(sched::join_result)> m_heldJoin;
     std::function<void(bool, std::vector<sched::stored_record>)> m_heldLoad;
 };
 
--- a/src/libfleet/owner_process.cpp
+++ b/src/libfleet/owner_process.cpp
@@ -98,7 +98,10 @@
     m_lastJoin = m_time.now();
     m_store.join(m_generation, [this](const sched::join_result &result) {
         m_joining = false;
-        onJoined(result);
+        if (m_stopDone)
+            m_store.leave(std::exchange(m_stopDone, nullptr));
+        else
+            onJoined(result);
     });
 }
 
@@ -414,7 +417,11 @@
     m_stopping = true;
     if (m_ownership)
         endOwnership("stopping");
-    m_store.leave(std::move(done));
+    // A join that the store carries out after the leave would bring the partition back.
+    if (m_joining)
+        m_stopDone = std::move(done);
+    else
+        m_store.leave(std::move(done));
 }
 
 } // namespace plantainpitch::fleet
--- a/src/libfleet/owner_replacement_test.cpp
+++ b/src/libfleet/owner_replacement_test.cpp
@@ -198,6 +198,26 @@
     BOOST_TEST((fixture.statusOf(call_kind::query, laterJob) == gateway_status::not_accepted));
 }
 
+// Guards against a partition that a process gets back after it has ended: a join that was on its
+// way overtakes the leave, and nobody has the partition until the membership ends.
+BOOST_AUTO_TEST_CASE(anOwnerThatStopsLeavesTheGroupOnlyAfterItsLastJoin)
+{
+    replacement_fixture fixture;
+    fixture.run(std::chrono::milliseconds(1'000));
+    fixture.store.holdJoins = true;
+    fixture.run(std::chrono::milliseconds(500));
+    bool stopped = false;
+    const std::size_t joined = fixture.store.joined;
+    fixture.subject.stop([&stopped] { stopped = true; });
+    fixture.run(std::chrono::milliseconds(300));
+    BOOST_TEST(fixture.store.left == 0U);
+    fixture.store.releaseJoin();
+    BOOST_TEST(fixture.store.left == 1U);
+    BOOST_TEST(stopped);
+    fixture.run(std::chrono::milliseconds(1'000));
+    BOOST_TEST(fixture.store.joined == joined);
+}
+
 // Guards against a call to the store every few milliseconds, and against none at all.
 BOOST_AUTO_TEST_CASE(anIdleOwnerAsksForItsEpochTwiceASecond)
 {
