End a request for memory once, however many connections ask for it

The counter of the limit was too high.

Cause: two connections that find the limit of held bytes exceeded pick the same request. The first call ends it with a 503. The second found the connection closing, counted the limit again and closed it at once, beside the response. Besides, a request that grew was counted twice for a moment, in which other connections could find the limit exceeded.

Change: a request gives way only while it is being read and the limit is still exceeded. The sum of held bytes changes in one step.

Not changed: connections over the limit of connections are picked in the same way, one by one by the listener; a connection that is picked twice is still closed beside its 503.

--- a/src/libruntime/http_connection.cpp
+++ b/src/libruntime/http_connection.cpp
@@ -98,8 +98,7 @@
 {
     asio::dispatch(m_socket.get_executor(), [self = shared_from_this(), limit] {
         if (self->m_phase == phase::reading) {
-            self->fail(self->rejectLimit(503, limit, "there is no room for this request",
-                                         "send it again later, without pauses"));
+            self->failForRoom(limit);
         } else if (self->m_phase != phase::handling && self->m_phase != phase::closed) {
             self->m_shared->reportLimit(limit);
             self->close();
@@ -107,6 +106,21 @@
     });
 }
 
+void http_connection::releaseMemory()
+{
+    asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
+        // Several connections may find the limit exceeded by the same request.
+        if (self->m_phase == phase::reading && self->m_shared->holdsTooMuch())
+            self->failForRoom("held_bytes");
+    });
+}
+
+void http_connection::failForRoom(const char *limit)
+{
+    fail(rejectLimit(503, limit, "there is no room for this request",
+                     "send it again later, without pauses"));
+}
+
 std::optional<http_connection::steady::time_point> http_connection::waitingSince() const
 {
     const steady::rep since = m_waitingSince;
@@ -139,8 +153,9 @@
 void http_connection::countHeldBytes(std::size_t bytes)
 {
     const std::size_t before = m_heldBytes.exchange(bytes);
-    m_shared->heldBytes += bytes; // unsigned, so the difference may be taken in two steps
-    m_shared->heldBytes -= before;
+    // Unsigned, so the difference may wrap around. In two steps, other connections could see the
+    // request counted twice.
+    m_shared->heldBytes += bytes - before;
 }
 
 /// Frees the memory of a request that is not read to its end.
@@ -155,7 +170,7 @@
 /// limit.
 void http_connection::makeRoom()
 {
-    if (m_shared->heldBytes <= m_shared->options.maxHeldBytes)
+    if (!m_shared->holdsTooMuch())
         return;
     std::shared_ptr<http_connection> largest;
     {
@@ -167,7 +182,7 @@
         }
     }
     if (largest)
-        largest->yieldTo("held_bytes");
+        largest->releaseMemory();
 }
 
 void http_connection::closeWhenIdle()
--- a/src/libruntime/http_connection.h
+++ b/src/libruntime/http_connection.h
@@ -41,6 +41,10 @@
     /// thread.
     void yieldTo(const char *limit);
 
+    /// Answers 503 to a request that is being read, if the requests of all connections hold too
+    /// much memory then. Any thread.
+    void releaseMemory();
+
     using steady = std::chrono::steady_clock;
     /// Since when the server waits for this client to send or read; nothing while a request is
     /// handled and once the connection closes. Any thread.
@@ -70,6 +74,7 @@
     void writeCut(http_response response);
     void onWritten(const boost::system::error_code &code, bool keep);
     void fail(http_response response);
+    void failForRoom(const char *limit);
     void finishClosing();
     [[nodiscard]] http_response rejectLimit(unsigned status, const char *reason,
                                             const std::string &problem, const std::string &remedy);
--- a/src/libruntime/http_server_shared.h
+++ b/src/libruntime/http_server_shared.h
@@ -28,6 +28,8 @@
     /// Responses carry "Connection: close".
     std::atomic<bool> closeAfterResponse{ false };
 
+    [[nodiscard]] bool holdsTooMuch() const { return heldBytes > options.maxHeldBytes; }
+
     void reportLimit(const char *reason) const
     {
         if (options.limitReached)
