--- a/src/include/plantainpitch/sched/messages.h
+++ b/src/include/plantainpitch/sched/messages.h
@@ -17,6 +17,7 @@
 using submission = fb::submissionT;
 using task_progress = fb::task_progressT;
 using progress = fb::progressT;
+using queue_record = fb::queue_recordT;
 using member = fb::memberT;
 using run_ref = fb::run_refT;
 using worker_info = fb::worker_infoT;
@@ -63,6 +64,9 @@
 /// Throws error(protocol_error).
 progress decodeProgress(std::string_view bytes);
 
+queue_record toRecord(const queue_config &queue);
+/// Throws error(invalid_document) if no job can run by these settings.
+queue_config fromRecord(const queue_record &record);
 std::string encodeQueue(const queue_config &queue);
 /// Throws error(protocol_error), or error(invalid_document) if no job can run by these settings.
 queue_config decodeQueue(std::string_view bytes);
--- a/src/libsched/messages.cpp
+++ b/src/libsched/messages.cpp
@@ -92,9 +92,9 @@
     return decode<fb::progress>(bytes, "progress record");
 }
 
-std::string encodeQueue(const queue_config &queue)
+queue_record toRecord(const queue_config &queue)
 {
-    fb::queue_recordT record;
+    queue_record record;
     record.name = queue.name;
     record.service = queue.service;
     record.priority = queue.priority;
@@ -102,12 +102,21 @@
     record.stretch = queue.stretch;
     record.targetLatencyMs = queue.targetLatencyMs;
     record.needsTickets = queue.needsTickets;
-    return encode<fb::queue_record>(record);
+    return record;
+}
+
+std::string encodeQueue(const queue_config &queue)
+{
+    return encode<fb::queue_record>(toRecord(queue));
 }
 
 queue_config decodeQueue(std::string_view bytes)
 {
-    const fb::queue_recordT record = decode<fb::queue_record>(bytes, "queue record");
+    return fromRecord(decode<fb::queue_record>(bytes, "queue record"));
+}
+
+queue_config fromRecord(const queue_record &record)
+{
     if (record.name.empty() || record.maxAttempts == 0 || !std::isfinite(record.stretch)
         || record.stretch < 0) {
         throw error(error_kind::invalid_document, "the record's queue cannot run a job",
--- a/src/libsched/scheduler_jobs.cpp
+++ b/src/libsched/scheduler_jobs.cpp
@@ -56,6 +56,19 @@
     return known->isShownAsEnded() ? requested_knowledge::ended_job : requested_knowledge::open_job;
 }
 
+/// Returns the settings of the queue that a gateway has sent with a submission; nothing if it has
+/// sent none by which the job can run.
+std::optional<queue_config> settingsIn(const client_call &call)
+{
+    if (!call.queueSettings || call.queueSettings->name != call.submitted->queue)
+        return std::nullopt;
+    try {
+        return fromRecord(*call.queueSettings);
+    } catch (const error &) {
+        return std::nullopt; // the call is refused, with a log line
+    }
+}
+
 /// Returns why the job of a submission cannot be accepted; empty if it can.
 std::string problemOf(const client_call &call, const store_limits &limits)
 {
@@ -314,6 +327,17 @@
                std::clamp<duration>(outage, shortestOutageRetry, longestOutageRetry));
         return;
     }
+    // The gateway may have taken the call before the configuration dropped the queue, or may know a
+    // later configuration. Without settings the job would never run.
+    const std::string &queue = call.submitted->queue;
+    if (!findQueue(queue)) {
+        const auto settings = settingsIn(call);
+        if (!settings) {
+            refuse(node, call, "unknown_queue", notReadyRetry);
+            return;
+        }
+        m_formerQueues[queue] = *settings;
+    }
     const job &added = addJob(*call.submitted, now, wallMs);
     log(log_level::info, "job_accepted",
         { { "job", call.job },
--- a/src/libsched/scheduler_queues_test.cpp
+++ b/src/libsched/scheduler_queues_test.cpp
@@ -27,13 +27,24 @@
     }
 
     void submitService()
+    {
+        sched::client_call call = lateSubmission();
+        call.queueSettings = nullptr;
+        model.send(call);
+        BOOST_REQUIRE(runsAgainWithin(4'000));
+    }
+
+    /// A job as a gateway hands it in that took it before the queue was dropped.
+    sched::client_call lateSubmission()
     {
         auto call = model.submission("service", 1);
         call.queue = "former";
         call.submitted->queue = "former";
         call.submitted->spec->steps[0]->longRunning = true;
-        model.send(call);
-        BOOST_REQUIRE(runsAgainWithin(4'000));
+        sched::queue_config settings = model.config.queues["batch"];
+        settings.name = "former";
+        call.queueSettings = std::make_unique<sched::queue_record>(sched::toRecord(settings));
+        return call;
     }
 
     void dropQueue()
@@ -84,6 +95,52 @@
     requireNoViolations(fixture.model);
 }
 
+// Guards against a job that is accepted and never runs: the gateway had taken it before the
+// configuration dropped its queue, and the owner had never known the queue, review/12.
+BOOST_AUTO_TEST_CASE(aJobRunsWhoseQueueWasDroppedBeforeTheOwnerTookOver)
+{
+    queue_fixture fixture;
+    fixture.dropQueue();
+    fixture.model.newOwner();
+    fixture.model.run(500);
+    fixture.model.send(fixture.lateSubmission());
+    BOOST_TEST(fixture.runsAgainWithin(4'000));
+    fixture.model.run(500);
+    fixture.model.newOwner();
+    fixture.model.run(2'000);
+    fixture.failTask();
+    BOOST_TEST(fixture.runsAgainWithin(6'000));
+    requireNoViolations(fixture.model);
+}
+
+// Guards against the same where nobody knows how the job's tasks run.
+BOOST_AUTO_TEST_CASE(aJobOfAQueueThatNobodyKnowsIsRefused)
+{
+    queue_fixture fixture;
+    fixture.dropQueue();
+    fixture.model.newOwner();
+    fixture.model.run(500);
+    auto without = fixture.lateSubmission();
+    without.number = 1;
+    without.queueSettings = nullptr;
+    auto ofAnother = fixture.lateSubmission();
+    ofAnother.number = 2;
+    ofAnother.queueSettings->name = "batch";
+    auto bad = fixture.lateSubmission();
+    bad.number = 3;
+    bad.queueSettings->maxAttempts = 0;
+    for (sched::client_call *each : { &without, &ofAnother, &bad })
+        fixture.model.send(std::move(*each));
+    fixture.model.run(500);
+    for (const std::uint64_t number : { 1, 2, 3 }) {
+        BOOST_REQUIRE(fixture.model.answers.count(number) == 1U);
+        const auto outcome =
+                static_cast<sched::call_outcome>(fixture.model.answers[number].outcome);
+        BOOST_TEST((outcome == sched::call_outcome::unavailable));
+    }
+    BOOST_TEST(fixture.model.owner->findJob("service") == nullptr);
+}
+
 // Guards against settings of a removed queue that are older than the last ones: the queue had been
 // changed after its job was stored.
 BOOST_AUTO_TEST_CASE(aLaterOwnerHasTheLastSettingsOfARemovedQueue)
