Copy the submissions of a test instead of moving them from const pointers

Cause: clang-tidy refuses a std::move() in scheduler_queues_test.cpp, as send() takes a reference.

Change: the calls are passed as they are. The check is unchanged.

--- a/src/libsched/scheduler_queues_test.cpp
+++ b/src/libsched/scheduler_queues_test.cpp
@@ -129,8 +129,8 @@
     auto bad = fixture.lateSubmission();
     bad.number = 3;
     bad.queueSettings->maxAttempts = 0;
-    for (sched::client_call *each : { &without, &ofAnother, &bad })
-        fixture.model.send(std::move(*each));
+    for (const sched::client_call *each : { &without, &ofAnother, &bad })
+        fixture.model.send(*each);
     fixture.model.run(500);
     for (const std::uint64_t number : { 1, 2, 3 }) {
         BOOST_REQUIRE(fixture.model.answers.count(number) == 1U);
