Wait for all entries between the steps of a rolling restart in its test

Cause: test_rolling_restart_cuts_no_request stopped the second agent once the first had got 20 requests. One entry can send all of them; the other may not have connected to the restarted agent yet and then has no endpoint (no_endpoint, 6 of 1,102 requests in the sanitized build at a load of 30). OPERATIONS.md, section 4, steps 4 and 6, asks to wait until the status of every entry has the VMs without a drain and with the newest configuration.

Change: the test waits for exactly that after each restart. Its checks are unchanged, and the waits have deadlines of their own.

--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -260,6 +260,19 @@
             wait_until(lambda number=i: self.request(account, template, entry=number) == 200,
                        timeout_s, f"{entry.program.name} answers for {template}")
 
+    def wait_all_connected(self, timeout_s=20):
+        """Waits until every entry has all VMs, without drain and with the newest configuration."""
+        def connected(entry):
+            status = entry.status()
+            if status is None:
+                return False
+            usable = {vm["vm"] for vm in status["vms"]
+                      if not vm["draining"] and vm["config_revision"] >= status["config_revision"]}
+            return usable >= {vm.name for vm in self.vms}
+        for entry in self.entries:
+            wait_until(lambda each=entry: connected(each), timeout_s,
+                       f"all VMs are connected to {entry.program.name}")
+
     def running_tasks(self, vm, state="running"):
         """Ids of the tasks in that state on the worker of a VM."""
         status, body = call(vm.worker.listening_port, "GET", "/v1/worker")
--- a/testsuite/process_test.py
+++ b/testsuite/process_test.py
@@ -206,10 +206,12 @@
             entry.program.start()
             wait_until(entry.ready, 20, f"{entry.program.name} is ready again")
             self.system.wait_served(ACCOUNT, SERVICE)
+            self.system.wait_all_connected()
         for vm in self.system.vms:
             self.assertEqual(vm.agent.stop(), 0)
             vm.agent.start()
             self.wait_requests([vm], 20)
+            self.system.wait_all_connected()
         load.terminate()
         report = cluster.finish_load(load)
         self.assertEqual(report["outcomes"]["answered"], {"200": report["requests"]}, report)
