--- a/src/include/plantainpitch/sched/agent.h
+++ b/src/include/plantainpitch/sched/agent.h
@@ -7,6 +7,7 @@
 #include "plantainpitch/sched/messages.h"
 #include "plantainpitch/sched/pacing.h"
 #include "plantainpitch/sched/resources.h"
+#include "plantainpitch/sched/unanswered_starts.h"
 #include "plantainpitch/sched/worker_announcement.h"
 #include "plantainpitch/sched/worker_call.h"
 #include "plantainpitch/sched/worker_candidates.h"
@@ -122,7 +123,7 @@
         /// Sending of the start call; the first listing, if an earlier agent process sent it.
         instant startedAt{};
     };
-    using run_key = std::pair<std::string, std::uint32_t>; ///< task, run
+    using run_key = unanswered_starts::run_key;
 
     void resetRuns();
     void updateWorker(const worker_announcement &announced, instant now);
@@ -161,6 +162,8 @@
     [[nodiscard]] std::uint32_t leasedMs(instant now) const;
     [[nodiscard]] bool leasesEnded(instant now) const;
     void lapse(const char *reason);
+    void endProcess();
+    void stopUnansweredStarts(instant now);
     void updatePaces(instant now);
     void sendPace(const run_key &key, run_state &state, instant now);
     void onPaceReply(const worker_call &call, const worker_reply &reply, instant now);
@@ -210,7 +213,9 @@
     instant m_authorityUntil{};
     std::uint64_t m_ordersSeen = 0;
 
+    /// Of a worker that has ended: those that its next incarnation may carry out.
     std::map<run_key, run_state> m_runs;
+    unanswered_starts m_unansweredStarts; ///< to all incarnations
     std::map<std::uint64_t, run_end> m_ends; ///< not yet noted by the owner
     std::uint64_t m_lastEnd = 0;
     std::uint64_t m_endsNoted = 0;
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -197,7 +197,8 @@
     void stopReplacement(const task_location &location, const std::string &name);
     void stopGang(const task_location &location);
     void recordCheckpoint(const task_location &location, const std::string &checkpoint);
-    void requeueLostRuns(worker &worker, const char *reason, instant now);
+    void requeueLostRuns(worker &worker, const char *reason, instant now,
+                         const std::vector<std::unique_ptr<run_ref>> &unsettled = {});
     agent_orders &ordersFor(worker &worker, std::size_t bytes);
 
     // scheduler_placing.cpp
--- a/src/libsched/agent.cpp
+++ b/src/libsched/agent.cpp
@@ -22,6 +22,14 @@
 /// The end of a connection may be read this much before an end that was announced ahead of it.
 constexpr milliseconds announcedEndMargin{ 300 };
 
+std::unique_ptr<run_ref> makeRunRef(const unanswered_starts::run_key &run)
+{
+    auto result = std::make_unique<run_ref>();
+    result->task = run.first;
+    result->run = run.second;
+    return result;
+}
+
 } // namespace
 
 agent::agent(agent_options options)
@@ -163,6 +171,7 @@
     m_workerReported = false;
     m_reportDue = true;
     m_completeReportDue = true;
+    stopUnansweredStarts(now);
 }
 
 void agent::workerLeft(const std::string &id, instant now)
@@ -304,6 +313,7 @@
     if (!m_firstTick)
         m_firstTick = now;
     m_candidates.removeExpired(now);
+    m_unansweredStarts.removeExpired(now);
     if (m_epoch > 0)
         askCandidates(now);
     if (m_life && m_epoch > 0 && !m_life->hasSuccessor()) {
@@ -315,7 +325,8 @@
         }
     }
     // No holds are sent to a restarted worker before its announcement, which may never come.
-    if (m_life && m_life->hasSuccessor() && !m_life->isOver() && leasesEnded(now))
+    const bool mayHaveRuns = m_life && (!m_life->isOver() || !m_runs.empty());
+    if (mayHaveRuns && m_life->hasSuccessor() && leasesEnded(now))
         lapse("not_announced");
     if (m_ownerConnected && (m_reportDue || now - m_lastReport >= m_options.reportInterval))
         report(now);
@@ -357,7 +368,11 @@
     content.responsive = m_life && m_life->isAnswering();
     // The owner takes the runs without a known end as lost.
     content.lapsed = m_life && m_life->isOver() && m_newEnds.empty();
-    if (content.lapsed && m_lapseReportUs == 0)
+    if (content.lapsed) {
+        for (const auto &[key, state] : m_runs)
+            content.unsettled.push_back(makeRunRef(key));
+    }
+    if (content.lapsed && m_runs.empty() && m_lapseReportUs == 0)
         m_lapseReportUs = content.sentUs;
     content.vacant = isVacant(now);
     content.workerFence = m_workerFence;
@@ -410,16 +425,10 @@
 /// \a bytes: size of the ends in the report. Checkpoints that have no room follow in the next ones.
 void agent::reportAllRuns(agent_report &content, std::size_t bytes, instant now)
 {
-    const auto addStarting = [&content](const std::string &task, std::uint32_t run) {
-        auto added = std::make_unique<run_ref>();
-        added->task = task;
-        added->run = run;
-        content.starting.push_back(std::move(added));
-    };
     content.complete = true;
     for (auto &[key, state] : m_runs) {
         if (state.phase != run_phase::running || !state.listed) {
-            addStarting(key.first, key.second);
+            content.starting.push_back(makeRunRef(key));
             continue;
         }
         content.running.push_back(statusOf(key, state, now));
@@ -435,7 +444,7 @@
     }
     // Runs whose reported end the owner has not stored yet must not look missing.
     for (const auto &[number, end] : m_ends)
-        addStarting(end.task, end.run);
+        content.starting.push_back(makeRunRef({ end.task, end.run }));
 }
 
 /// Returns the runs with their ages at the worker's last sign of life.
--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -24,8 +24,6 @@
 constexpr milliseconds connectionEndMargin{ 300 };
 /// Pause before an unanswered pace call is repeated.
 constexpr milliseconds paceRetryInterval{ 1'000 };
-/// A worker may carry out an unanswered call this much later, after newer ones.
-constexpr milliseconds lateCallWindow{ 15'000 };
 /// Reason of an answer that another worker gave.
 const std::string workerGoneReason = "worker_gone";
 
@@ -110,6 +108,7 @@
     state.checkpoint = order.checkpoint;
     state.startedAt = now;
     m_runs[key] = state;
+    m_unansweredStarts.sent(key, m_worker->id, now);
     worker_call start = call(worker_call_kind::start);
     start.task = order.task;
     start.run = order.run;
@@ -246,6 +245,8 @@
         onIdentifyReply(call, reply, now);
         return;
     }
+    if (call.kind == worker_call_kind::start && reply.kind != worker_reply_kind::unanswered)
+        m_unansweredStarts.settle({ call.task, call.run });
     const bool sentToKnown =
             m_worker && call.workerId == m_worker->id && call.workerStartMs == m_worker->startMs;
     if (!sentToKnown)
@@ -347,6 +348,7 @@
     m_latestLeaseEnd = std::max(m_latestLeaseEnd, longestLeaseEnd(now));
     m_life = m_life->succeededBy(startMs);
     m_reportDue = true;
+    stopUnansweredStarts(now);
     if (const auto announced = m_candidates.take({ .id = m_worker->id, .startMs = startMs }))
         adopt(*announced, now);
 }
@@ -373,11 +375,19 @@
     const bool processEnded = m_notRunningReplies >= notRunningRepliesUntilLost;
     if (processEnded)
         recordCrash(now);
-    if (m_life->isOver() || (!leasesEnded(now) && !processEnded))
+    if (m_life->isOver()) {
+        if (!m_runs.empty() && leasesEnded(now))
+            lapse("leases_ended");
+        return;
+    }
+    if (!leasesEnded(now) && !processEnded)
         return;
     if (!processEnded)
         m_runsWhenSilent = runsAtLastSign();
-    lapse(leasesEnded(now) ? "leases_ended" : "not_running");
+    if (leasesEnded(now))
+        lapse("leases_ended");
+    else
+        endProcess();
 }
 
 /// End of the longest lease that a call may have given the worker just now. A time on the clock of
@@ -415,6 +425,36 @@
     m_reportDue = true;
 }
 
+/// Reports that none of the runs exists any more, but for starts that the next incarnation may
+/// carry out. These are kept until it has been told to stop them, or for as long as a lease.
+void agent::endProcess()
+{
+    const std::size_t known = m_runs.size();
+    std::erase_if(m_runs,
+                  [this](const auto &entry) { return !m_unansweredStarts.includes(entry.first); });
+    log(log_level::warning, "worker_lost",
+        { { "worker", m_worker->id },
+          { "runs", std::to_string(known) },
+          { "unanswered_starts", std::to_string(m_runs.size()) },
+          { "reason", "not_running" } });
+    m_life = m_life->ended();
+    m_reportDue = true;
+    m_completeReportDue = m_completeReportDue || !m_runs.empty();
+}
+
+/// Has a new incarnation refuse the starts that were sent to those before it.
+void agent::stopUnansweredStarts(instant now)
+{
+    for (const run_key &key : m_unansweredStarts.sentTo(m_worker->id)) {
+        log(log_level::info, "unanswered_start_stopped",
+            { { "task", key.first },
+              { "run", std::to_string(key.second) },
+              { "worker", m_worker->id },
+              { "start_ms", std::to_string(m_worker->startMs) } });
+        sendStop(key, m_runs[key], now);
+    }
+}
+
 void agent::onListing(const worker_listing &listing, std::uint64_t holdNumber, instant now)
 {
     m_listedAt = now;
@@ -468,6 +508,7 @@
 {
     for (const run_end &end : listing.ended) {
         m_runs.erase({ end.task, end.run });
+        m_unansweredStarts.settle({ end.task, end.run });
         if (end.number <= m_lastEnd || end.number <= m_endsNoted)
             continue;
         m_lastEnd = end.number;
@@ -496,6 +537,7 @@
 void agent::updateRun(const run_key &key, const run_status &status, instant now)
 {
     const bool known = m_runs.count(key) > 0;
+    m_unansweredStarts.settle(key);
     run_state &state = m_runs[key];
     if (!known) {
         state.phase = run_phase::running;
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -223,6 +223,7 @@
     std::map<std::string, std::string> stored;
     std::int64_t longRunningMs = taskMs; ///< how long a task of a long-running step runs
     double lostAnswers = 0; ///< share of the calls to workers that are carried out 2 to 12 s late
+    bool lateCallsOutliveCrashes = false; ///< the next incarnation carries them out
     double delayedAnswers = 0; ///< share of the listings that reach the agent up to 0.9 s late
     std::vector<std::string> violations;
     std::vector<write_log> logLines; ///< of all owners
--- a/src/libsched/fleet_model_test.cpp
+++ b/src/libsched/fleet_model_test.cpp
@@ -2,6 +2,8 @@
 
 #include "plantainpitch/sched/task_name.h"
 
+#include <utility>
+
 namespace plantainpitch::test {
 
 namespace {
@@ -275,6 +277,12 @@
             down.kind = sched::worker_reply_kind::not_running;
             if (each.answered)
                 node.agent->onReply(each.call, down, now());
+            if (each.answered || !lateCallsOutliveCrashes)
+                continue;
+            if (std::exchange(each.answerMs, 0) > 0)
+                node.agent->onReply(each.call, {}, now());
+            if (timeMs < each.dueMs)
+                node.calls.push_back(each);
             continue;
         }
         if (node.workerSilent) {
@@ -313,6 +321,11 @@
         violations.push_back(task + " was started without a job");
         return true;
     }
+    if (known->ended()) { // tasks that are not done may still be started by a late call
+        if (known->committedState == sched::job_state::completed)
+            violations.push_back(task + " was started after its job was completed");
+        return true;
+    }
     const auto name = sched::task_name::parse(task);
     const auto &item = known->occurrences[name->occurrence].steps[name->step].tasks[name->index];
     if (item.phase == sched::task_phase::done)
--- a/src/libsched/scheduler_runs.cpp
+++ b/src/libsched/scheduler_runs.cpp
@@ -357,16 +357,24 @@
     }
 }
 
-void scheduler::requeueLostRuns(worker &worker, const char *reason, instant now)
+/// Has the tasks of the worker's runs start again, but for runs in \a unsettled, which may still
+/// begin.
+void scheduler::requeueLostRuns(worker &worker, const char *reason, instant now,
+                                const std::vector<std::unique_ptr<run_ref>> &unsettled)
 {
-    if (!worker.runs.empty()) {
+    auto runs = worker.runs;
+    for (const auto &each : unsettled) {
+        const auto found = runs.find(each->task);
+        if (found != runs.end() && found->second.run == each->run)
+            runs.erase(found);
+    }
+    if (!runs.empty()) {
         log(log_level::warning, "runs_lost",
             { { "worker", worker.key.id },
               { "start_ms", std::to_string(worker.key.startMs) },
-              { "runs", std::to_string(worker.runs.size()) },
+              { "runs", std::to_string(runs.size()) },
               { "reason", reason } });
     }
-    const auto runs = worker.runs;
     for (const auto &[name, allocation] : runs)
         worker.release(name, allocation.run);
     for (const auto &[name, allocation] : runs) {
--- a/src/libsched/scheduler_workers.cpp
+++ b/src/libsched/scheduler_workers.cpp
@@ -252,7 +252,7 @@
     for (const auto &refusal : report.refused)
         onRunRefusal(worker, *refusal, now);
     if (report.lapsed)
-        requeueLostRuns(worker, "leases_ended", now);
+        requeueLostRuns(worker, "leases_ended", now, report.unsettled);
     if (lastEnd > 0) {
         agent_orders &orders = ordersFor(worker, 0);
         orders.endsNoted = std::max(orders.endsNoted, lastEnd);
