--- a/src/include/plantainpitch/sched/advice_cache.h
+++ b/src/include/plantainpitch/sched/advice_cache.h
@@ -31,12 +31,13 @@
     ticketFor(const std::string &step, const std::string &worker, instant now) const;
 
     /// Returns the workers to query now: those without a valid ticket that are not known to be
-    /// unfit. Empty while a call is pending or one of \a usable has a valid ticket. \a others have
-    /// no free capacity at present.
+    /// unfit. Empty while a call is pending, or if one of \a usable has a valid ticket, unless the
+    /// job is \a stalled: then the workers with tickets start nothing, and the rest of \a usable is
+    /// queried as well. \a others take no task of the step at present.
     [[nodiscard]] std::vector<std::string> workersToQuery(const std::string &step,
                                                           const std::vector<std::string> &usable,
                                                           const std::vector<std::string> &others,
-                                                          instant now) const;
+                                                          bool stalled, instant now) const;
 
     /// Returns the agent with the fewest pending calls; empty if all are at their limit.
     [[nodiscard]] std::string chooseAgent(const std::set<std::string> &agents) const;
--- a/src/include/plantainpitch/sched/scheduler.h
+++ b/src/include/plantainpitch/sched/scheduler.h
@@ -220,7 +220,7 @@
                                                         std::uint32_t step,
                                                         const placement_terms &terms, instant now);
     void requestTickets(const job &job, const queue_config &queue, const occurrence &occurrence,
-                        std::uint32_t step, bool mayUseExcluded, instant now);
+                        std::uint32_t step, bool stalled, instant now);
     bool placeGang(job &job, const queue_config &queue, occurrence &occurrence, std::uint32_t step,
                    const placement_terms &terms, instant now);
     [[nodiscard]] std::vector<worker *> chooseForGang(const job &job, const queue_config &queue,
--- a/src/libsched/advice_cache.cpp
+++ b/src/libsched/advice_cache.cpp
@@ -34,7 +34,7 @@
 std::vector<std::string> advice_cache::workersToQuery(const std::string &step,
                                                       const std::vector<std::string> &usable,
                                                       const std::vector<std::string> &others,
-                                                      instant now) const
+                                                      bool stalled, instant now) const
 {
     const auto found = m_steps.find(step);
     const step_state none;
@@ -43,13 +43,17 @@
     const auto hasTicket = [&](const std::string &worker) {
         return ticketFor(step, worker, now).has_value();
     };
-    if (pending || now < state.retryAt || std::any_of(usable.begin(), usable.end(), hasTicket))
+    const auto isUnknown = [&](const std::string &worker) {
+        return state.unfit.count(worker) == 0 && !hasTicket(worker);
+    };
+    const bool asksMore = stalled && std::any_of(usable.begin(), usable.end(), isUnknown);
+    const bool mayStart = std::any_of(usable.begin(), usable.end(), hasTicket);
+    if (pending || now < state.retryAt || (mayStart && !asksMore))
         return {};
     std::vector<std::string> workers;
     for (const auto *list : { &usable, &others }) {
         for (const std::string &each : *list) {
-            if (state.unfit.count(each) == 0 && !hasTicket(each)
-                && workers.size() < maxWorkersPerCall)
+            if (isUnknown(each) && workers.size() < maxWorkersPerCall)
                 workers.push_back(each);
         }
     }
--- a/src/libsched/advice_cache_test.cpp
+++ b/src/libsched/advice_cache_test.cpp
@@ -30,12 +30,12 @@
 BOOST_AUTO_TEST_CASE(nothingIsAskedWhileACallIsOnItsWayOrATicketIsValid)
 {
     advice_cache cache;
-    BOOST_TEST(cache.workersToQuery(step, workers, {}, start) == workers);
+    BOOST_TEST(cache.workersToQuery(step, workers, {}, false, start) == workers);
     cache.requestSent(step, "n", start);
-    BOOST_TEST(cache.workersToQuery(step, workers, {}, start).empty());
+    BOOST_TEST(cache.workersToQuery(step, workers, {}, false, start).empty());
     cache.adviceReceived(step, workers, { { .worker = "w2", .ticket = "t" } }, milliseconds(3'000),
                          start);
-    BOOST_TEST(cache.workersToQuery(step, workers, {}, start).empty());
+    BOOST_TEST(cache.workersToQuery(step, workers, {}, false, start).empty());
 }
 
 // While the only fit worker is full, other workers are queried. Its ticket stays valid, and
@@ -47,11 +47,24 @@
     cache.adviceReceived(step, workers, { { .worker = "w2", .ticket = "t" } }, milliseconds(3'000),
                          start);
     const std::vector<std::string> expected{ "w3" };
-    BOOST_TEST(cache.workersToQuery(step, { "w3" }, { "w2" }, start) == expected);
+    BOOST_TEST(cache.workersToQuery(step, { "w3" }, { "w2" }, false, start) == expected);
     cache.requestSent(step, "n", start);
     cache.adviceReceived(step, expected, {}, milliseconds(3'000), start);
     BOOST_TEST(cache.ticketFor(step, "w2", start).has_value());
-    BOOST_TEST(cache.workersToQuery(step, { "w3" }, { "w2" }, start).empty());
+    BOOST_TEST(cache.workersToQuery(step, { "w3" }, { "w2" }, false, start).empty());
+}
+
+// Guards against a job that waits until a ticket expires whose worker starts nothing.
+BOOST_AUTO_TEST_CASE(aStalledJobAsksAboutOtherWorkersThatHaveRoom)
+{
+    advice_cache cache;
+    cache.requestSent(step, "n", start);
+    cache.adviceReceived(step, workers, { { .worker = "w2", .ticket = "t" } }, milliseconds(3'000),
+                         start);
+    const std::vector<std::string> expected{ "w3" };
+    BOOST_TEST(cache.workersToQuery(step, { "w2", "w3" }, {}, false, start).empty());
+    BOOST_TEST(cache.workersToQuery(step, { "w2", "w3" }, {}, true, start) == expected);
+    BOOST_TEST(cache.workersToQuery(step, workers, { "w3" }, true, start).empty());
 }
 
 BOOST_AUTO_TEST_CASE(callsAreSpreadOverTheAgentsAndLimited)
@@ -76,11 +89,12 @@
     advice_cache cache;
     cache.requestSent(step, "n1", start);
     cache.agentLost("n1");
-    BOOST_TEST(cache.workersToQuery(step, workers, {}, start) == workers);
+    BOOST_TEST(cache.workersToQuery(step, workers, {}, false, start) == workers);
     cache.requestSent(step, "n2", start);
     cache.requestFailed(step, start);
-    BOOST_TEST(cache.workersToQuery(step, workers, {}, start).empty());
-    BOOST_TEST(cache.workersToQuery(step, workers, {}, start + milliseconds(400)) == workers);
+    BOOST_TEST(cache.workersToQuery(step, workers, {}, false, start).empty());
+    BOOST_TEST(cache.workersToQuery(step, workers, {}, false, start + milliseconds(400))
+               == workers);
 }
 
 // The late answer to a call that counted as lost must not affect workers it did not ask about.
@@ -92,7 +106,7 @@
     cache.requestSent(step, "n2", start);
     cache.adviceReceived(step, { "w1" }, {}, milliseconds(3'000), start);
     const std::vector<std::string> expected{ "w2" };
-    BOOST_TEST(cache.workersToQuery(step, workers, {}, start) == expected);
+    BOOST_TEST(cache.workersToQuery(step, workers, {}, false, start) == expected);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libsched/fleet_model.h
+++ b/src/libsched/fleet_model.h
@@ -219,7 +219,7 @@
     bool storeUp = true;
     std::set<std::string> eligibleWorkers; ///< for which the advice service issues tickets
     std::vector<sched::advice_request> advised; ///< requests that the service has received
-    static constexpr std::uint32_t ticketValidityMs = 2'000;
+    std::uint32_t ticketValidityMs = 2'000;
     std::map<std::string, std::string> stored;
     std::int64_t longRunningMs = taskMs; ///< how long a task of a long-running step runs
     double lostAnswers = 0; ///< share of the calls to workers that are carried out 2 to 12 s late
--- a/src/libsched/scheduler_advice_test.cpp
+++ b/src/libsched/scheduler_advice_test.cpp
@@ -53,6 +53,43 @@
     BOOST_TEST(model.advised.size() >= 2U);
 }
 
+// Guards against tasks that wait until tickets for other workers expire, although the limit on
+// tasks per VM keeps the step from those workers: review/15.
+BOOST_AUTO_TEST_CASE(ticketsAreAskedForIfTheHoldersOfTicketsAreAtTheirTaskLimit)
+{
+    fleet_model model(3);
+    model.ticketValidityMs = 30'000;
+    model.longRunningMs = 60'000;
+    requireTickets(model, { "worker-node-0", "worker-node-1", "worker-node-2" });
+    model.crashWorker(model.nodes[0]);
+    model.run(1'000);
+    auto call = model.submission("a", 3);
+    call.submitted->spec->steps[0]->longRunning = true;
+    call.submitted->spec->steps[0]->maxPerVm = 1;
+    model.send(call);
+    model.run(3'000);
+    BOOST_TEST(model.starts.size() == 2U);
+    model.nodes[0].worker.restart();
+    model.run(3'000);
+    BOOST_TEST(model.starts.size() == 3U);
+}
+
+// Guards against the same if the only holder of a ticket refuses all starts.
+BOOST_AUTO_TEST_CASE(ticketsAreAskedForIfTheHolderOfATicketIsUnhealthy)
+{
+    fleet_model model(2);
+    model.ticketValidityMs = 30'000;
+    requireTickets(model, { "worker-node-0", "worker-node-1" });
+    model.crashWorker(model.nodes[1]);
+    model.nodes[0].worker.refusesStarts = true;
+    model.run(1'000);
+    model.send(model.submission("a", 1));
+    model.run(4'000);
+    BOOST_TEST(model.starts.empty());
+    model.nodes[1].worker.restart();
+    BOOST_TEST(model.runUntil("a", job_state::completed, 3'000));
+}
+
 BOOST_AUTO_TEST_CASE(workersThatMayNotRunAStepAreNotAskedAboutAgain)
 {
     fleet_model model(2);
--- a/src/libsched/scheduler_placing.cpp
+++ b/src/libsched/scheduler_placing.cpp
@@ -18,9 +18,9 @@
 /// Waiting jobs per worker up to which the queue counts as short. In a longer queue, starved jobs
 /// would only take capacity from jobs that can still meet their objective.
 constexpr double shortQueueJobsPerWorker = 0.5;
-/// A job that has stood still for this long may soon start on an excluded worker. Tickets take a
-/// second or so.
-constexpr std::chrono::milliseconds excludedTicketsAfter{ 1'000 };
+/// A job that has stood still for this long needs tickets for further workers, excluded ones too.
+/// Tickets take a second or so.
+constexpr std::chrono::milliseconds stalledAfter{ 1'000 };
 /// Jobs considered per pass; bounds the duration of a pass.
 constexpr std::size_t maxJobsPerPass = 400;
 
@@ -45,6 +45,17 @@
     return racks;
 }
 
+/// Whether as many tasks of the step are on the worker as may be.
+bool isAtTaskLimit(const worker &candidate, const step_spec &spec, const step_run &step)
+{
+    if (spec.maxPerVm == 0)
+        return false;
+    const auto here = std::count_if(step.tasks.begin(), step.tasks.end(), [&](const task &each) {
+        return each.phase == task_phase::active && each.place == candidate.key;
+    });
+    return here >= spec.maxPerVm;
+}
+
 /// Whether all tasks of the steps that \a step depends on have been started, so that it is likely
 /// to become startable soon.
 bool dependenciesStarted(const job &job, const occurrence &occurrence, std::uint32_t step)
@@ -94,14 +105,8 @@
             continue;
         if (queue.needsTickets && !m_advice.ticketFor(name, key.id, now))
             continue;
-        if (spec.maxPerVm > 0) {
-            const auto &tasks = occurrence.steps[step].tasks;
-            const auto here = std::count_if(tasks.begin(), tasks.end(), [&](const task &each) {
-                return each.phase == task_phase::active && each.place == candidate->key;
-            });
-            if (here >= spec.maxPerVm)
-                continue;
-        }
+        if (isAtTaskLimit(*candidate, spec, occurrence.steps[step]))
+            continue;
         if (excludedNow)
             excluded.push_back(candidate);
         else
@@ -422,36 +427,41 @@
                 continue;
             const bool startable = job.dependenciesDone(occurrence, step);
             if (queue.needsTickets && (startable || dependenciesStarted(job, occurrence, step)))
-                requestTickets(job, queue, occurrence, step,
-                               now - job.lastActive >= excludedTicketsAfter, now);
+                requestTickets(job, queue, occurrence, step, now - job.lastActive >= stalledAfter,
+                               now);
             if (startable)
                 placeStep(job, queue, occurrence, step, terms, now);
         }
     }
 }
 
-/// Has an agent ask which workers may run the step; some steps may also use excluded workers.
+/// Has an agent ask which workers may run the step; those of a stalled job may use excluded ones.
 /// The answer is not stored: a later owner asks again.
 void scheduler::requestTickets(const job &job, const queue_config &queue,
-                               const occurrence &occurrence, std::uint32_t step,
-                               bool mayUseExcluded, instant now)
+                               const occurrence &occurrence, std::uint32_t step, bool stalled,
+                               instant now)
 {
     const std::string agent = m_advice.chooseAgent(m_connected);
     if (agent.empty())
         return;
     const step_spec &spec = job.stepSpec(step);
     std::vector<std::string> eligible;
-    std::vector<std::string> withoutCapacity;
+    std::vector<std::string> others; // take no task of the step at present
     for (const auto &[key, candidate] : m_workers) {
         const bool excluded = candidate->excludedUntil > now;
-        if (!mayRun(*candidate, queue, spec) || (excluded && !mayUseExcluded))
+        if (!mayRun(*candidate, queue, spec) || (excluded && !stalled))
             continue;
-        const bool hasCapacity = candidate->hasRoomFor(reservation(spec))
+        const bool keptForOthers =
+                !candidate->keptForJob.empty() && candidate->keptForJob != job.request.id;
+        const bool mayTakeTask = candidate->trials == 0 && !keptForOthers
+                                 && (!excluded || mayTry(*candidate, now))
+                                 && !isAtTaskLimit(*candidate, spec, occurrence.steps[step])
+                                 && candidate->hasRoomFor(reservation(spec))
                                  && m_placement.admits(*candidate, spec, {});
-        (hasCapacity ? eligible : withoutCapacity).push_back(key.id);
+        (mayTakeTask ? eligible : others).push_back(key.id);
     }
     const std::string name = task_name{ job.request.id, occurrence.number, step, 0 }.stepText();
-    const auto workers = m_advice.workersToQuery(name, eligible, withoutCapacity, now);
+    const auto workers = m_advice.workersToQuery(name, eligible, others, stalled, now);
     if (workers.empty())
         return;
     m_advice.requestSent(name, agent, now);
