--- a/src/libsched/unanswered_starts_test.cpp
+++ b/src/libsched/unanswered_starts_test.cpp
@@ -95,6 +95,7 @@
 std::vector<std::string> namesOf(const std::vector<std::unique_ptr<sched::run_ref>> &runs)
 {
     std::vector<std::string> names;
+    names.reserve(runs.size());
     for (const auto &each : runs)
         names.push_back(each->task);
     return names;
