Keep only delayed starts of a crashed worker

Cause: kept every start without an answer for up to 5.5 s. A start whose run crashes the worker before the answer is one of these, so its task waited until the worker was back, about 4 s after each of four crashes.

Change: a start counts as delayed if the worker has answered a call that was sent after the start had failed: a stop of the run, or a later hold. Only delayed starts are kept. Others failed with the worker, and their tasks move at once, as before. All of them are still stopped at each new incarnation.

Ruled out: the room that the agents keep for stopped starts; the job's log has no start that was refused for it.

--- a/src/libsched/agent_worker_calls.cpp
+++ b/src/libsched/agent_worker_calls.cpp
@@ -245,8 +245,12 @@
         onIdentifyReply(call, reply, now);
         return;
     }
-    if (call.kind == worker_call_kind::start && reply.kind != worker_reply_kind::unanswered)
-        m_unansweredStarts.settle({ call.task, call.run });
+    if (call.kind == worker_call_kind::start) {
+        if (reply.kind == worker_reply_kind::unanswered)
+            m_unansweredStarts.failed({ call.task, call.run }, m_holdNumber);
+        else
+            m_unansweredStarts.settle({ call.task, call.run });
+    }
     const bool sentToKnown =
             m_worker && call.workerId == m_worker->id && call.workerStartMs == m_worker->startMs;
     if (!sentToKnown)
@@ -261,6 +265,7 @@
             break;
         found->second.stopPending = false;
         if (reply.kind == worker_reply_kind::accepted) {
+            m_unansweredStarts.stopAnswered({ call.task, call.run });
             found->second.phase = run_phase::confirming_stop;
             found->second.firstConclusiveHold = m_holdNumber + 1;
         }
@@ -326,6 +331,7 @@
     m_lastAlive = now;
     m_workerFence = std::max(m_workerFence, call.fence);
     m_runsWhenSilent.clear();
+    m_unansweredStarts.holdAnswered(call.number);
     if (!m_life->isAnswering()) {
         m_life = m_life->answered();
         m_lapseReportUs = 0;
@@ -425,17 +431,18 @@
     m_reportDue = true;
 }
 
-/// Reports that none of the runs exists any more, but for starts that the next incarnation may
-/// carry out. These are kept until it has been told to stop them, or for as long as a lease.
+/// Reports that none of the runs exists any more, but for delayed starts, which the next
+/// incarnation may carry out. These are kept until it has been told to stop them, or for as long
+/// as a lease.
 void agent::endProcess()
 {
     const std::size_t known = m_runs.size();
     std::erase_if(m_runs,
-                  [this](const auto &entry) { return !m_unansweredStarts.includes(entry.first); });
+                  [this](const auto &entry) { return !m_unansweredStarts.isDelayed(entry.first); });
     log(log_level::warning, "worker_lost",
         { { "worker", m_worker->id },
           { "runs", std::to_string(known) },
-          { "unanswered_starts", std::to_string(m_runs.size()) },
+          { "delayed_starts", std::to_string(m_runs.size()) },
           { "reason", "not_running" } });
     m_life = m_life->ended();
     m_reportDue = true;
