Count runs that end between two looks in the soak's check of idle jobs

Cause: find_idle() took a job as idle from the first look at which nothing of it ran, and began anew only if a later look found a run. Runs of a task that crashes its workers last for less than 70 ms, and are missed.

Change: a job is idle from the first such look or from the end of its last known run, whichever is later. The bound is unchanged. Two more tests show that a job without a run, or whose last run is too long ago, is reported.

Evidence: test_a_job_whose_runs_end_between_two_looks_is_not_idle and test_a_job_whose_last_run_is_too_long_ago_is_idle failed before.

--- a/src/libsched/unanswered_starts_test.cpp
+++ b/src/libsched/unanswered_starts_test.cpp
@@ -194,8 +194,7 @@
     BOOST_TEST(subject.owesEndOfWorker());
 }
 
-// Guards against a task that waits for a worker which ended before it could answer the start:
-// fleet_soak seed 590005.
+// Guards against a task that waits for a worker which ended before it could answer the start.
 BOOST_FIXTURE_TEST_CASE(startsThatFailedWithTheProcessAreLostAtOnce, agent_with_unanswered_start)
 {
     refuseConnections(milliseconds(1'000));
--- a/testsuite/promises_test.py
+++ b/testsuite/promises_test.py
@@ -7,11 +7,12 @@
 import time
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "soak"))
 
 from jobs import MAX_ATTEMPTS, SHORT  # noqa: E402
-from promises import Promises  # noqa: E402
+from promises import Promises, ROOM_S, RUNS_AGAIN_S  # noqa: E402
 from worker import CAPACITY, Worker  # noqa: E402
 
 LOOPBACK = "127.0.0.1"
@@ -77,6 +78,49 @@
         self._fail_noted(MAX_ATTEMPTS)
         self.assertEqual(self._broken(), ["BUDGET"])
 
+    def _find_idle(self, clock, until):
+        """Looks every 0.1 s until then; the task runs from each full 4 s of the clock for 50 ms, if
+        it runs at all."""
+        job = self._promises._jobs["job"]
+        job.name = "job"
+        worker = SimpleNamespace(service=True, hangs=False, draining=False, running={},
+                                 capacity=CAPACITY)
+        found = []
+        while clock.return_value < until:
+            found += self._promises.find_idle([job], [worker])
+            clock.return_value += 0.1
+            if self._runs_briefly and clock.return_value // 4 > self._runs:
+                self._runs += 1
+                run = SimpleNamespace(task=TASK, number=self._runs)
+                self._promises.run_started(self._worker, run, {"spec": "payload"})
+                clock.return_value += 0.05
+                self._promises.run_gone(self._worker, run)
+        return found
+
+    @mock.patch("promises.time.monotonic", return_value=0.0)
+    def test_a_job_whose_runs_end_between_two_looks_is_not_idle(self, clock):
+        # Guards against a report of a job whose task crashes its workers as soon as it runs.
+        self._runs_briefly = True
+        self.assertEqual(self._find_idle(clock, 30.0), [])
+        self.assertEqual(self._runs, 7)
+
+    @mock.patch("promises.time.monotonic", return_value=0.0)
+    def test_a_job_without_a_run_is_idle(self, clock):
+        # Guards against a job that stands still for too long unnoticed.
+        self._runs_briefly = False
+        self.assertEqual(self._find_idle(clock, RUNS_AGAIN_S + ROOM_S), [])
+        self.assertNotEqual(self._find_idle(clock, RUNS_AGAIN_S + ROOM_S + 0.3), [])
+
+    @mock.patch("promises.time.monotonic", return_value=0.0)
+    def test_a_job_whose_last_run_is_too_long_ago_is_idle(self, clock):
+        # Guards against a run that excuses its job for good.
+        self._runs_briefly = True
+        self._find_idle(clock, 9.0)
+        self._runs_briefly = False
+        last = 8.2
+        self.assertEqual(self._find_idle(clock, last + RUNS_AGAIN_S + ROOM_S - 0.3), [])
+        self.assertNotEqual(self._find_idle(clock, last + RUNS_AGAIN_S + ROOM_S + 0.3), [])
+
     def test_the_stand_in_for_a_worker_reports_lapses_of_its_lease(self):
         # Guards against a lapse that the check above is not told of.
         plan = {"run_s": lambda run: 0.01, "fails": lambda run: True, "crash_after_s": None}
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -180,14 +180,20 @@
                         self._has_free_capacity_twice(worker, step) for worker in workers
                         for step in self._steps_in_turn(job)):
                     self._idle_since.pop(job.name, None)
-                elif now - self._idle_since.setdefault(job.name, now) > RUNS_AGAIN_S + ROOM_S:
+                    continue
+                idle_since = max([self._idle_since.setdefault(job.name, now),
+                                  *(each["ended"] for each in self._runs_of(job))])
+                if now - idle_since > RUNS_AGAIN_S + ROOM_S:
                     idle.append(job)
         return idle
 
+    def _runs_of(self, job):
+        return [each for number, step in enumerate(job.document["steps"])
+                for index in range(step["count"])
+                for each in self._runs[f"{job.name}.0.{number}.{index}"]]
+
     def _is_working(self, job):
-        return any(each["ended"] is None for number, step in enumerate(job.document["steps"])
-                   for index in range(step["count"])
-                   for each in self._runs[f"{job.name}.0.{number}.{index}"])
+        return any(each["ended"] is None for each in self._runs_of(job))
 
     def _steps_in_turn(self, job):
         steps = job.document["steps"]
